Accept fractions for the bounds of a fleet

Cause: bounds may be fractions; on a small twin of the grown site the slack of repetitions was 32.88, and every entry host refused its settings (exit 78). Ruled out: a fault of the template, which passes the value on as it is.

Change: heartbeat, longest hold and slack are numbers. The test failed before.

--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -58,7 +58,7 @@
 class RegistrarTerms:
     """Times of the registry, from the settings."""
 
-    heartbeat_ms: int
+    heartbeat_ms: float
     hold_ms: int
     # How much slower than the leader's a target's clock may run.
     drift_parts_per_million: int = 20_000
--- a/src/goldcrestproxy/settings/fleet.py
+++ b/src/goldcrestproxy/settings/fleet.py
@@ -10,7 +10,7 @@
 
 ENDPOINT_PARTS: ty.Final = 2
 # Without a bound from the settings a hold lasts at most this long.
-HOLD_MS_MAX_DEFAULT: ty.Final = 10_000
+HOLD_MS_MAX_DEFAULT: ty.Final = 10_000.0
 
 
 @attrs.frozen
@@ -65,21 +65,21 @@
     losses_tolerated: int = attrs.field(
         default=0, validator=loading.in_range(0, 10)
     )
-    heartbeat_ms: int = attrs.field(
-        default=1_000, validator=loading.in_range(50, 60_000)
+    heartbeat_ms: float = attrs.field(
+        default=1_000.0, validator=loading.in_range(50, 60_000)
     )
     # How long a target holds its keys after a heartbeat.
     hold_ms: int = attrs.field(
         default=3_500, validator=loading.in_range(200, 600_000)
     )
-    hold_ms_max: int = attrs.field(
+    hold_ms_max: float = attrs.field(
         default=HOLD_MS_MAX_DEFAULT, validator=loading.in_range(200, 600_000)
     )
     resend_ratio: float = attrs.field(
         default=0.1, validator=loading.in_range(0, 10)
     )
-    resend_slack: int = attrs.field(
-        default=10, validator=loading.in_range(0, 1_000_000)
+    resend_slack: float = attrs.field(
+        default=10.0, validator=loading.in_range(0, 1_000_000)
     )
     resend_window_s: float = attrs.field(
         default=10.0, validator=loading.in_range(0.1, 3_600)
@@ -97,4 +97,4 @@
     @property
     def usable_hold_ms(self) -> int:
         """How long holds last, within what targets accept."""
-        return min(self.hold_ms, self.hold_ms_max)
+        return int(min(self.hold_ms, self.hold_ms_max))
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -164,3 +164,19 @@
         check(document)
     except errors.SettingsError as error:
         assert str(error).startswith("file.json")
+
+
+def test_bounds_of_a_fleet_may_be_fractions():
+    """Bounds of a deployment scale with its size and need not be whole."""
+    given = settings.structure(
+        settings.FleetSettings,
+        {
+            "seeds": ["127.0.0.1:7000"],
+            "heartbeat_ms": 870.5,
+            "hold_ms_max": 2999.5,
+            "resend_slack": 32.88135593220339,
+        },
+        "file.json",
+    )
+    assert given.resend_slack == pytest.approx(32.88, abs=0.01)
+    assert given.usable_hold_ms == 2999
