Quarantine requests that crash targets of the registry

Cause: a request that crashes each target which runs it, sent again by its caller, was passed on without end; only the coordinated path knew of quarantine. Ruled out: counting at each entry host alone, since the caller returns at any of them.

Change: entry hosts report connections that broke off while a request may have run; when the target proves to have crashed (a newer process, or silence), the leader counts the crash for these requests. After three crashes every entry host refuses them as not run, for two minutes after the newest crash. Targets that said they leave do not count.

Tests: three crashes quarantine, breaks without a crash do not, a refusal sends nothing; they failed before for want of the code.

--- a/src/goldcrestproxy/control/commands.py
+++ b/src/goldcrestproxy/control/commands.py
@@ -272,6 +272,8 @@
     incarnation: str
     fingerprints: tuple[str, ...]
     time_s: float
+    # Crashes after which a fingerprint is quarantined.
+    crashes_needed: int = 2
 
 
 @attrs.frozen(kw_only=True)
--- a/src/goldcrestproxy/control/quarantine.py
+++ b/src/goldcrestproxy/control/quarantine.py
@@ -10,7 +10,6 @@
 from goldcrestproxy.control import outcomes
 from goldcrestproxy.control import records
 
-CRASHES_TO_QUARANTINE: ty.Final = 2
 RECORDS_MAX: ty.Final = 10_000
 CRASH_MEMORY_S: ty.Final = 3600.0
 
@@ -26,6 +25,16 @@
         record = self.crashes.get(fingerprint)
         return record is not None and record.quarantined
 
+    def holds_since(self, fingerprint: str, since_s: float) -> bool:
+        """Whether a fingerprint is held and crashed a target since then.
+
+        :param since_s: seconds since the epoch
+        """
+        return (
+            self.holds(fingerprint)
+            and self.crashes[fingerprint].time_s >= since_s
+        )
+
     def apply(
         self, command: commands.ReportCrash | commands.ReleaseQuarantine
     ) -> outcomes.Outcome:
@@ -35,17 +44,19 @@
                 self._expire(command.time_s)
                 crash = f"{command.target}/{command.incarnation}"
                 for fingerprint in command.fingerprints:
-                    self._count(fingerprint, crash, command.time_s)
+                    self._count(fingerprint, crash, command)
             case commands.ReleaseQuarantine():
                 self.crashes.pop(command.fingerprint, None)
         return outcomes.Done()
 
-    def _count(self, fingerprint: str, crash: str, time_s: float) -> None:
+    def _count(
+        self, fingerprint: str, crash: str, command: commands.ReportCrash
+    ) -> None:
         record = self.crashes.setdefault(fingerprint, records.CrashRecord())
-        record.time_s = time_s
+        record.time_s = command.time_s
         if crash not in record.crashes:
             record.crashes.append(crash)
-        if len(record.crashes) >= CRASHES_TO_QUARANTINE:
+        if len(record.crashes) >= command.crashes_needed:
             record.quarantined = True
 
     def _expire(self, now_s: float) -> None:
--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -23,12 +23,14 @@
 
 import attrs
 
+from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import granted_ranges
 from goldcrestproxy.control import key_planner
 from goldcrestproxy.control import outcomes
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import replication as replications
+from goldcrestproxy.control import suspects
 from goldcrestproxy.control import target_views
 from goldcrestproxy import errors
 from goldcrestproxy import registry
@@ -85,6 +87,7 @@
         self._rng = rng or random.Random()
         self._views = target_views.TargetViews()
         self._planner = key_planner.KeyPlanner(replica, self._views)
+        self._suspects = suspects.Suspects()
         self._gone: dict[str, int] = {}
         self._started = False
 
@@ -108,6 +111,11 @@
     def observe(self, report: wire.ttypes.WatchRequest) -> None:
         """Take what an entry host measured."""
         self._planner.observe(report)
+        now_s = self._replica.clock()
+        for run in report.broken or ():
+            self._suspects.broke_off(
+                run.target, run.incarnation, run.fingerprint, now_s
+            )
 
     async def serve(self, call: registry.Call) -> registry.Answer:
         """Answer a call.
@@ -291,7 +299,48 @@
             "leaving" if beat.leaving else "in service",
             beat.cold_ms,
         )
+        crashes = self._crashes_before(wanted)
         await self._replica.propose(wanted)
+        for crash in crashes:
+            await self._replica.propose(crash)
+
+    def _crashes_before(
+        self, wanted: registry.RegisterTarget
+    ) -> list[commands.Command]:
+        """Report the processes that a new one shows to be over."""
+        found: list[commands.Command] = []
+        for known in self._registry.targets.values():
+            same = wanted.target == known.target
+            if not same and wanted.address != known.address:
+                continue
+            if known.incarnation < wanted.incarnation and not known.leaving:
+                found.extend(self._crash(known))
+        return found
+
+    def _crash(
+        self, known: registry.RegisteredTarget
+    ) -> list[commands.Command]:
+        """Report which requests a target was running when it crashed."""
+        fingerprints = self._suspects.crashed(
+            known.target, known.incarnation, self._replica.clock()
+        )
+        if not fingerprints:
+            return []
+        LOG.info(
+            "registry: target %s, incarnation %d, crashed; it ran %s",
+            known.target,
+            known.incarnation,
+            ",".join(fingerprints),
+        )
+        return [
+            commands.ReportCrash(
+                target=known.target,
+                incarnation=str(known.incarnation),
+                fingerprints=fingerprints,
+                time_s=clocks.wall_s(),
+                crashes_needed=suspects.CRASHES_NEEDED,
+            )
+        ]
 
     async def _take_released(
         self, beat: registry.Heartbeat, view: target_views.TargetView
@@ -446,6 +495,8 @@
                         gone=False,
                     )
                 )
+                found.extend(self._crash(target))
+        self._suspects.forget_old(now_s)
         return found
 
     def _ended_holds(self, now_s: float) -> list[commands.Command]:
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.entries import map_link
 from goldcrestproxy.entries import observations
 from goldcrestproxy import registry
@@ -14,6 +15,10 @@
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
 
+# A request that crashed targets is tried again after this, and quarantined
+# anew with its next crash: another request may only look like it.
+QUARANTINE_S: ty.Final = 120.0
+
 
 @attrs.define(kw_only=True)
 class KnownTarget:
@@ -104,6 +109,12 @@
         """Wait for the next change, at most ``timeout_s``."""
         await self._link.wait_change(timeout_s)
 
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Whether requests like this one lately crashed their targets."""
+        return self._link.state.quarantine.holds_since(
+            fingerprint, clocks.wall_s() - QUARANTINE_S
+        )
+
     def is_cold(self, target: KnownTarget) -> bool:
         """Whether a target is in its cold time."""
         return self._clock() < target.cold_until_s
--- a/src/goldcrestproxy/entries/fleet_request.py
+++ b/src/goldcrestproxy/entries/fleet_request.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from goldcrestproxy.entries import fingerprints
 from goldcrestproxy import wire
 
 
@@ -14,7 +15,8 @@
     """What a caller asked for.
 
     ``key`` is None for a request without one, ``body_bytes`` -1 when the
-    length is not known and 0 for no body.
+    length is not known and 0 for no body. ``caller`` is the address that
+    the request came from.
     """
 
     request_id: str
@@ -26,6 +28,18 @@
     body: wire.Pipe | None
     body_bytes: int
     deadline_ms: int | None
+    caller: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """The same when the same caller sends the same request again."""
+        return fingerprints.of_parts(
+            self.caller,
+            self.host,
+            self.method,
+            self.target,
+            str(self.body_bytes),
+        )
 
     @property
     def path(self) -> str:
--- a/src/goldcrestproxy/entries/observations.py
+++ b/src/goldcrestproxy/entries/observations.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import collections
+import typing as ty
 
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy import wire
 
+# Broken runs in one report; more at once are a fault of the network.
+BROKEN_MAX: ty.Final = 50
+
 
 class Observations:
     """Counts requests by block of keys, and the work of targets."""
@@ -17,6 +21,7 @@
             collections.Counter()
         )
         self._work: dict[tuple[str, int], tuple[float, int]] = {}
+        self._broken: list[wire.ttypes.BrokenRun] = []
 
     def requested(self, service: str, block: int) -> None:
         """Count a request for a key of a block."""
@@ -40,6 +45,19 @@
         total_ms, answers = self._work.get((target, incarnation), (0.0, 0))
         self._work[target, incarnation] = (total_ms + work_ms, answers + 1)
 
+    def broke_off(
+        self, target: str, incarnation: int, fingerprint: str
+    ) -> None:
+        """Note that a target broke off while it may have run a request."""
+        if len(self._broken) < BROKEN_MAX:
+            self._broken.append(
+                wire.ttypes.BrokenRun(
+                    fingerprint=fingerprint,
+                    target=target,
+                    incarnation=incarnation,
+                )
+            )
+
     def take(self, request: wire.ttypes.WatchRequest) -> None:
         """Move what was counted into a report."""
         request.observations = [
@@ -59,5 +77,7 @@
             )
             for (service, block), requests in self._blocks.items()
         ]
+        request.broken = self._broken
+        self._broken = []
         self._blocks.clear()
         self._work.clear()
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -107,8 +107,9 @@
             answer = await self._read(transfer, target, request, started_s)
             return answer
         except targets.TransferError as error:
-            self._note_failure(transfer, target)
-            raise SendingFailed(_failure_of(transfer, error)) from error
+            failure = _failure_of(transfer, error)
+            self._note_failure(transfer, target, request, failure)
+            raise SendingFailed(failure) from error
         except asyncio.CancelledError:
             transfer.cancel()
             raise
@@ -172,10 +173,24 @@
         return bytes(read), False
 
     def _note_failure(
-        self, transfer: targets.Transfer, target: fleet_map.KnownTarget
+        self,
+        transfer: targets.Transfer,
+        target: fleet_map.KnownTarget,
+        request: fleet_request.FleetRequest,
+        failure: resend.Failure,
     ) -> None:
-        if not transfer.mismatched:
-            target.stats.failed(self._clock())
+        if transfer.mismatched:
+            return
+        target.stats.failed(self._clock())
+        match failure:
+            case resend.MaybeRun(timed_out=False):
+                self._observations.broke_off(
+                    target.name,
+                    target.record.incarnation,
+                    request.fingerprint,
+                )
+            case _:
+                pass
 
 
 def _failure_of(
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -126,6 +126,7 @@
             body=self._body,
             body_bytes=body_bytes,
             deadline_ms=self._whole(conventions.DEADLINE_MS, 1 << 31),
+            caller=self.request.remote_ip or "",
         )
 
     def _whole(self, name: str, most: int) -> int | None:
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -201,6 +201,13 @@
   3: i32 requests,
 }
 
+/** A target broke off while it may have run a request. */
+struct BrokenRun {
+  1: string fingerprint,
+  2: string target,
+  3: i64 incarnation,
+}
+
 /** A daemon follows the replicated state without holding a lease. */
 struct WatchRequest {
   1: string host,
@@ -210,6 +217,7 @@
   5: bool entry,
   6: list<TargetObservation> observations,
   7: list<BlockCount> blocks,
+  8: list<BrokenRun> broken,
 }
 
 struct WatchReply {
--- a/tests/control/test_registrar.py
+++ b/tests/control/test_registrar.py
@@ -19,6 +19,7 @@
 from goldcrestproxy import registry
 from goldcrestproxy.routing import demand
 from goldcrestproxy.routing import key_placement
+from goldcrestproxy import wire
 
 TERMS = registrar.RegistrarTerms(heartbeat_ms=870, hold_ms=3500)
 SERVICE = registry.Item(
@@ -443,3 +444,59 @@
         assert granted == set(owned)
 
     asyncio.run(play())
+
+
+def broken_run(target, incarnation, fingerprint):
+    return wire.ttypes.WatchRequest(
+        host="entry-a",
+        session="s",
+        zone="zone-a",
+        applied_index=0,
+        entry=True,
+        broken=[
+            wire.ttypes.BrokenRun(
+                fingerprint=fingerprint, target=target, incarnation=incarnation
+            )
+        ],
+    )
+
+
+def test_a_request_that_crashes_targets_is_quarantined(replica):
+    """Three crashes of any targets, noticed by start or by silence."""
+
+    async def play():
+        leader = lead(replica)
+        played = PlayedTarget(
+            name="i-1", address="10.0.0.1:80", slowness=0.0, incarnation=1
+        )
+        held = replica.state.quarantine.holds
+        await leader.serve(played.heartbeat(replica.now_s))
+        for crash in range(2):
+            leader.observe(broken_run("i-1", crash + 1, "poison"))
+            replica.now_s += 0.5
+            played.restart()
+            await leader.serve(played.heartbeat(replica.now_s))
+        assert not held("poison")
+        leader.observe(broken_run("i-1", 3, "poison"))
+        replica.now_s += 3 * 0.87 + 0.1
+        await leader._tick()
+        assert held("poison")
+
+    asyncio.run(play())
+
+
+def test_breaks_without_a_crash_quarantine_nothing(replica):
+    async def play():
+        leader = lead(replica)
+        played = PlayedTarget(name="i-1", address="10.0.0.1:80", slowness=0.0)
+        for _ in range(20):
+            await leader.serve(played.heartbeat(replica.now_s))
+            leader.observe(broken_run("i-1", 1, "unlucky"))
+            replica.now_s += 0.8
+            await leader._tick()
+        replica.now_s += 10
+        played.restart()
+        await leader.serve(played.heartbeat(replica.now_s))
+        assert not replica.state.quarantine.crashes
+
+    asyncio.run(play())
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -87,6 +87,10 @@
             rate=cold_rate.ColdRate(tokens=0.0, filled_s=1.0),
         )
         self.cold = False
+        self.quarantined = set()
+
+    def is_quarantined(self, fingerprint):
+        return fingerprint in self.quarantined
 
     def owner(self, _service, _key):
         return self.target
@@ -207,3 +211,20 @@
     with pytest.raises(errors.RefusedError) as caught:
         dispatch(fleet, sender)
     assert caught.value.code == results.NO_TARGET
+
+
+def test_a_request_that_crashed_targets_is_refused_as_not_run():
+    fleet = FakeFleet(registry.RouteKind.SAFE)
+    sender = FakeSender(fleet, [ANSWER])
+    fleet.quarantined.add(REQUEST.fingerprint)
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, sender)
+    assert refused.value.code == results.QUARANTINED
+    assert sender.sent == 0
+
+
+def test_another_callers_request_has_another_fingerprint():
+    other = attrs.evolve(REQUEST, caller="10.9.9.9")
+    again = attrs.evolve(REQUEST, request_id="r2", deadline_ms=300)
+    assert other.fingerprint != REQUEST.fingerprint
+    assert again.fingerprint == REQUEST.fingerprint
