--- a/src/goldcrestproxy/entries/course.py
+++ b/src/goldcrestproxy/entries/course.py
@@ -21,6 +21,8 @@
     deadline_s: float
     body: replay.ReplayBody
     sent_to: list[str] = attrs.field(factory=list)
+    # How long each sending waited for its connection.
+    connects_ms: list[int] = attrs.field(factory=list)
     failures: list[resend.Failure] = attrs.field(factory=list)
     # The last failure that a target itself answered with.
     answer: fleet_request.FleetAnswer | None = None
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -167,7 +167,8 @@
     async def _send(
         self, course: courses.Course, target: fleet_map.KnownTarget
     ) -> fleet_request.FleetAnswer:
-        def sent() -> None:
+        def sent(connect_s: float) -> None:
+            course.connects_ms.append(round(connect_s * 1000))
             if course.sent_to:
                 kind = type(course.failures[-1]).__name__
                 self._metrics.retries.add(1, {"reason": kind})
@@ -362,6 +363,7 @@
             service=course.service,
             key=course.request.key,
             sent_to=course.sent_to,
+            connects_ms=course.connects_ms,
             failures=[str(failure) for failure in course.failures],
             outcome=outcome,
             ms=round((self._clock() - started_s) * 1000, 1),
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -8,8 +8,8 @@
 import attrs
 
 from goldcrestproxy.control import clock as clocks
-from goldcrestproxy.entries import map_link
 from goldcrestproxy.control import observations
+from goldcrestproxy.entries import map_link
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
 from goldcrestproxy.routing import route_table
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -7,9 +7,9 @@
 
 import pycurl
 
+from goldcrestproxy.control import observations
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import fleet_request
-from goldcrestproxy.control import observations
 from goldcrestproxy.entries import replay
 from goldcrestproxy import errors
 from goldcrestproxy.routing import resend
@@ -63,18 +63,19 @@
         *,
         idempotent: bool,
         deadline_s: float,
-        on_sent: ty.Callable[[], None],
+        on_sent: ty.Callable[[float], None],
     ) -> fleet_request.FleetAnswer:
         """Send a request once and return the target's success.
 
-        :param on_sent: called before the first byte goes out
+        :param on_sent: called before the first byte goes out, with the
+            seconds until there was a connection
         :raises SendingFailed: without a success
         """
         left_ms = max(1, int((deadline_s - self._clock()) * 1000))
         pipe = wire.Pipe() if request.body is not None else None
 
         def may_send() -> bool:
-            on_sent()
+            on_sent(transfer.connect_s)
             return True
 
         transfer = self._client.start(
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+import time
 import typing as ty
 
 import pycurl
@@ -101,6 +102,9 @@
         self.answer_body = Pipe()
         self.stage = Stage.NOT_SENT
         self.reused = False
+        # From the start to the moment at which a connection was there.
+        self.connect_s = 0.0
+        self._started_s = time.monotonic()
         self._client = client
         self._request = request
         self._body = body
@@ -186,6 +190,7 @@
         if not self._may_send():
             return pycurl.PREREQFUNC_ABORT
         self.stage = Stage.SENT
+        self.connect_s = time.monotonic() - self._started_s
         self.reused = local_port in self._used_ports
         self._used_ports.add(local_port)
         return pycurl.PREREQFUNC_OK
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -115,7 +115,7 @@
     sent: int = 0
 
     async def send(self, *_, on_sent, **__):
-        on_sent()
+        on_sent(0.0)
         self.sent += 1
         outcome = self.outcomes.pop(0)
         if self.pause_after:
