Keep the control plane off small links, and be patient on full ones

From 3 to 8 s the state grew by 1,040 entries, 870 of them cuts of blocks that had three requests or so: after a change of leader demand is measured anew.

Change: the limit for a connection follows what connections take; a timeout counts against a target only when it should long have answered; reports get 1.2 s. Blocks are cut only after 12 requests, all cuts in one entry; chance is weighed by the number of targets. Feeds are compressed.

--- a/src/goldcrestproxy/control/codec.py
+++ b/src/goldcrestproxy/control/codec.py
@@ -22,6 +22,7 @@
     registry.ReleasedRange,
     registry.GrantedRange,
     registry.FreedBlock,
+    registry.BlockCut,
 )
 
 
--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -22,7 +22,7 @@
 FEED_TIMEOUT_MS: ty.Final = 2_000
 # Between two messages to one daemon, for each daemon that is fed here: what
 # is committed meanwhile goes together, and the host has time for other work.
-FEED_PAUSE_S: ty.Final = 0.0005
+FEED_PAUSE_S: ty.Final = 0.002
 _UNWANTED: ty.Final = tuple(
     codec.mark_of(kind) for kind in states.CLAIM_COMMANDS
 )
@@ -132,17 +132,42 @@
     if sent_index < replica.log.base_index or missing > FEED_ENTRIES_MAX:
         index, data = snapshots.take(replica)
         return wire.ttypes.FeedRequest(
-            previous_index=0, last_index=index, entries=[], snapshot=data
+            previous_index=0, last_index=index, entries=b"", snapshot=data
         )
     entries = replica.log.after(sent_index, missing)
+    wanted = [_to_wire(entry) for entry in entries if _wanted(entry)]
     return wire.ttypes.FeedRequest(
         previous_index=sent_index,
         last_index=sent_index + len(entries),
-        entries=[_to_wire(entry) for entry in entries if _wanted(entry)],
+        entries=_pack(wanted) if wanted else b"",
         snapshot=b"",
     )
 
 
+def _pack(entries: list[wire.ttypes.Entry]) -> bytes:
+    """Compress entries: entry hosts may have links of a few Mbit/s."""
+    return zlib.compress(wire.encode(wire.ttypes.Entries(entries=entries)))
+
+
+def unpack(data: bytes) -> list[wire.ttypes.Entry]:
+    """Return the entries of a feed.
+
+    :raises MalformedFrameError: when the bytes are not such entries
+    """
+    if not data:
+        return []
+    try:
+        packed = zlib.decompress(data)
+    except zlib.error as error:
+        raise errors.MalformedFrameError(
+            f"entries of {len(data)} bytes cannot be read: {error}"
+        ) from error
+    return ty.cast(
+        list[wire.ttypes.Entry],
+        wire.decode(wire.ttypes.Entries, packed).entries,
+    )
+
+
 def _wanted(entry: storage.LogEntry) -> bool:
     return not entry.command.endswith(_UNWANTED)
 
--- a/src/goldcrestproxy/control/key_planner.py
+++ b/src/goldcrestproxy/control/key_planner.py
@@ -88,12 +88,18 @@
             if same_blocks and now_s < known.made_s + age_s_max:
                 return known
         sizes = space.sizes()
+        shares = self._shares(service)
         plan = Plan(
             made_s=now_s,
             revision=revision,
             blocks=len(space.firsts),
-            weights=self.demand_of(service).weights(sizes, now_s),
-            shares=self._shares(service),
+            weights=self.demand_of(service).weights(
+                sizes,
+                now_s,
+                presumed_requests=len(shares)
+                * demand.PRESUMED_REQUESTS_A_TARGET,
+            ),
+            shares=shares,
         )
         self._plans[service] = plan
         return plan
@@ -193,36 +199,45 @@
             if plan.made_s == self._cut_s.get(service):
                 continue
             self._cut_s[service] = plan.made_s
-            usual_share = 1 / max(1, len(plan.shares))
-            hot_weight = usual_share * key_placement.HOT_PART
-            hot = [f for f, w in plan.weights.items() if w > hot_weight]
-            for first in hot:
-                weight = plan.weights[first]
-                at = space.find(first)
-                if at is None or not space.owners[at]:
-                    continue
-                pieces = key_placement.pieces_of(
-                    weight, space.size(at), usual_share
+            cuts = self._cuts(service, space, plan)
+            if cuts:
+                found.append(
+                    registry.SplitBlocks(service=service, cuts=tuple(cuts))
                 )
-                if pieces > 1:
-                    found.append(
-                        registry.SplitBlock(
-                            service=service, first_key=first, pieces=pieces
-                        )
-                    )
-                    self.demand_of(service).split(
-                        first, space.pieces_of(at, pieces)
-                    )
-                    LOG.info(
-                        "registry: cuts block %d of %s into %d, %.4f of the "
-                        "load",
-                        first,
-                        service,
-                        pieces,
-                        weight,
-                    )
         return found
 
+    def _cuts(
+        self, service: str, space: registry.Keyspace, plan: Plan
+    ) -> list[registry.BlockCut]:
+        usual_share = 1 / max(1, len(plan.shares))
+        hot_weight = usual_share * key_placement.HOT_PART
+        measured = self.demand_of(service)
+        counted = measured.requests(self._replica.clock())
+        cuts: list[registry.BlockCut] = []
+        for first, weight in plan.weights.items():
+            if weight <= hot_weight or counted.get(first, 0.0) < (
+                demand.CUT_REQUESTS_MIN
+            ):
+                continue
+            at = space.find(first)
+            if at is None or not space.owners[at]:
+                continue
+            pieces = key_placement.pieces_of(
+                weight, space.size(at), usual_share
+            )
+            if pieces < 2:
+                continue
+            cuts.append(registry.BlockCut(first_key=first, pieces=pieces))
+            measured.split(first, space.pieces_of(at, pieces))
+            LOG.info(
+                "registry: cuts block %d of %s into %d, %.4f of the load",
+                first,
+                service,
+                pieces,
+                weight,
+            )
+        return cuts
+
     def _blocks_max(self, service: str) -> int:
         return BLOCKS_PER_TARGET_MAX * max(1, len(self._usable(service)))
 
--- a/src/goldcrestproxy/control/state.py
+++ b/src/goldcrestproxy/control/state.py
@@ -128,7 +128,7 @@
                 | registry.LayOutKeys()
                 | registry.FreeBlocks()
                 | registry.GiveBlocks()
-                | registry.SplitBlock()
+                | registry.SplitBlocks()
             ):
                 return self._change_registry(index, command)
 
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -30,7 +30,8 @@
 HEADER_BYTES_MAX: ty.Final = 64 * 1024
 REGISTRANT_BODY_BYTES_MAX: ty.Final = 16 * 1024 * 1024
 WATCH_INTERVAL_MS: ty.Final = 300
-WATCH_TIMEOUT_MS: ty.Final = 600
+# On a link of 2 Mbit/s an answer may wait behind uploads for half a second.
+WATCH_TIMEOUT_MS: ty.Final = 1200
 # A host uses part of the budget only, since hosts count their requests
 # apart and the platform counts them together.
 BUDGET_SHARE: ty.Final = 0.5
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -73,9 +73,12 @@
         """
         left_ms = max(1, int((deadline_s - self._clock()) * 1000))
         pipe = wire.Pipe() if request.body is not None else None
+        patience = self._client.patience
 
         def may_send() -> bool:
             on_sent(transfer.connect_s)
+            if not transfer.reused:
+                patience.connected(transfer.connect_s * 1000)
             return True
 
         transfer = self._client.start(
@@ -109,7 +112,10 @@
             return answer
         except targets.TransferError as error:
             failure = _failure_of(transfer, error)
-            self._note_failure(transfer, target, request, failure)
+            if error.timed_out and error.stage is targets.Stage.NOT_SENT:
+                patience.timed_out()
+            waited_ms = (self._clock() - started_s) * 1000
+            self._note_failure(transfer, target, request, failure, waited_ms)
             raise SendingFailed(failure) from error
         except asyncio.CancelledError:
             transfer.cancel()
@@ -179,10 +185,19 @@
         target: fleet_map.KnownTarget,
         request: fleet_request.FleetRequest,
         failure: resend.Failure,
+        waited_ms: float,
     ) -> None:
         if transfer.mismatched:
             return
-        target.stats.failed(self._clock())
+        now_s = self._clock()
+        match failure:
+            case resend.MaybeRun(timed_out=True) if not (
+                target.stats.is_overdue(waited_ms, now_s)
+            ):
+                # Too little time was left for an answer in any case.
+                return
+            case _:
+                target.stats.failed(now_s)
         match failure:
             case resend.MaybeRun(timed_out=False):
                 self._observations.broke_off(
--- a/src/goldcrestproxy/entries/state_copy.py
+++ b/src/goldcrestproxy/entries/state_copy.py
@@ -6,6 +6,7 @@
 import zlib
 
 from goldcrestproxy import control
+from goldcrestproxy.control import feed
 from goldcrestproxy import results
 from goldcrestproxy import signals
 from goldcrestproxy import wire
@@ -52,7 +53,7 @@
                 f"feed starts after {request.previous_index}, "
                 f"{self.state.applied_index} is applied here",
             )
-        for entry in request.entries:
+        for entry in feed.unpack(request.entries):
             if entry.index > self.state.applied_index:
                 self.state.apply(entry.index, control.decode(entry.command))
         self.state.applied_index = max(
--- a/src/goldcrestproxy/registry/__init__.py
+++ b/src/goldcrestproxy/registry/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from goldcrestproxy.registry.commands import BlockCut
 from goldcrestproxy.registry.commands import ChangeItems
 from goldcrestproxy.registry.commands import Command
 from goldcrestproxy.registry.commands import FreeBlocks
@@ -11,7 +12,7 @@
 from goldcrestproxy.registry.commands import LoseTarget
 from goldcrestproxy.registry.commands import RegisterTarget
 from goldcrestproxy.registry.commands import SetZone
-from goldcrestproxy.registry.commands import SplitBlock
+from goldcrestproxy.registry.commands import SplitBlocks
 from goldcrestproxy.registry.items import CallerLimits
 from goldcrestproxy.registry.items import Item
 from goldcrestproxy.registry.items import ItemKey
@@ -44,6 +45,7 @@
     "KEYS",
     "Accepted",
     "Answer",
+    "BlockCut",
     "Call",
     "CallerLimits",
     "ChangeItems",
@@ -76,6 +78,6 @@
     "ServiceShare",
     "SetZone",
     "SetZoneCall",
-    "SplitBlock",
+    "SplitBlocks",
     "Value",
 ]
--- a/src/goldcrestproxy/registry/commands.py
+++ b/src/goldcrestproxy/registry/commands.py
@@ -94,14 +94,21 @@
 
 
 @attrs.frozen(kw_only=True)
-class SplitBlock:
-    """Cuts a busy block into pieces, which may then move apart."""
+class BlockCut:
+    """A busy block and into how many pieces it is cut."""
 
-    service: str
     first_key: int
     pieces: int
 
 
+@attrs.frozen(kw_only=True)
+class SplitBlocks:
+    """Cuts busy blocks into pieces, which may then move apart."""
+
+    service: str
+    cuts: tuple[BlockCut, ...]
+
+
 Command = (
     ChangeItems
     | SetZone
@@ -110,5 +117,5 @@
     | LayOutKeys
     | FreeBlocks
     | GiveBlocks
-    | SplitBlock
+    | SplitBlocks
 )
--- a/src/goldcrestproxy/registry/state.py
+++ b/src/goldcrestproxy/registry/state.py
@@ -76,10 +76,10 @@
                 self._free_blocks(command)
             case commands.GiveBlocks():
                 self._give_blocks(index, command)
-            case commands.SplitBlock():
+            case commands.SplitBlocks():
                 space = self.keyspaces.get(command.service)
-                if space is not None:
-                    space.split(command.first_key, command.pieces)
+                for cut in command.cuts if space is not None else ():
+                    space.split(cut.first_key, cut.pieces)
         return ""
 
     @property
--- a/src/goldcrestproxy/routing/demand.py
+++ b/src/goldcrestproxy/routing/demand.py
@@ -18,7 +18,12 @@
 EVEN_PART: ty.Final = 0.2
 # Requests that are presumed to be spread evenly before any are measured: a
 # few requests for the same keys are chance, not demand.
-PRESUMED_REQUESTS: ty.Final = 200.0
+PRESUMED_REQUESTS_MIN: ty.Final = 200.0
+# With so many for each target its part is known within a sixth, which is
+# less than what moves keys.
+PRESUMED_REQUESTS_A_TARGET: ty.Final = 40.0
+# A block is not cut up for fewer requests than this: they are chance.
+CUT_REQUESTS_MIN: ty.Final = 12.0
 # Answers that are presumed at the usual speed before any are measured.
 PRESUMED_ANSWERS: ty.Final = 16.0
 SPEED_S: ty.Final = 15.0
@@ -122,11 +127,15 @@
         self._fast.add(block, requests, now_s)
 
     def weights(
-        self, sizes: ty.Mapping[int, int], now_s: float
+        self,
+        sizes: ty.Mapping[int, int],
+        now_s: float,
+        presumed_requests: float = PRESUMED_REQUESTS_MIN,
     ) -> dict[int, float]:
         """Return each block's part of the requests; together 1.
 
         :param sizes: keys in each block
+        :param presumed_requests: spread evenly, beside what was counted
         """
         self._slow.keep(sizes)
         self._fast.keep(sizes)
@@ -136,7 +145,8 @@
         if total <= 0:
             return {block: size / keys for block, size in sizes.items()}
         counted = self._slow.total(now_s)
-        presumed_part = PRESUMED_REQUESTS / (PRESUMED_REQUESTS + counted)
+        presumed = max(PRESUMED_REQUESTS_MIN, presumed_requests)
+        presumed_part = presumed / (presumed + counted)
         even_part = max(EVEN_PART, presumed_part)
         a_key = even_part / keys
         a_rate = (1 - even_part) / total
@@ -149,6 +159,10 @@
         """Return the requests for all blocks together."""
         return self._slow.total(now_s) / SLOW_S
 
+    def requests(self, now_s: float) -> dict[int, float]:
+        """Return how many requests were counted, older ones for less."""
+        return self._slow.read(now_s)
+
     def split(self, block: int, pieces: ty.Sequence[int]) -> None:
         """Spread what was counted for a block over its pieces."""
         self._slow.replace(block, pieces)
--- a/src/goldcrestproxy/routing/target_choice.py
+++ b/src/goldcrestproxy/routing/target_choice.py
@@ -25,6 +25,8 @@
 WORK_PART_MIN: ty.Final = 0.5
 # Part of its time that a less urgent request may wait.
 LESS_URGENT_PART: ty.Final = 0.7
+# Work varies by more than half; three times as long is no longer chance.
+OVERDUE_MULTIPLE: ty.Final = 3.0
 # A remote target must be this much quicker than one in the own zone.
 ZONE_PREFERENCE: ty.Final = 1.5
 
@@ -115,6 +117,10 @@
         work_ms = self.work_ms * self.pace
         return work_ms + self.expected_wait_ms(now_s)
 
+    def is_overdue(self, waited_ms: float, now_s: float) -> bool:
+        """Whether a target should long have answered."""
+        return waited_ms > OVERDUE_MULTIPLE * self.expected_ms(now_s)
+
     @property
     def pace(self) -> float:
         """How long work takes at the moment, 1 as usual."""
--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -9,6 +9,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from goldcrestproxy.routing import connect_patience
 from goldcrestproxy.targets import transfer
 from goldcrestproxy.wire import Pipe
 
@@ -47,6 +48,7 @@
             ),
         )
         self._used_ports: set[int] = set()
+        self.patience = connect_patience.ConnectPatience()
 
     def start(
         self, outgoing: Outgoing, may_send: ty.Callable[[], bool]
@@ -62,9 +64,7 @@
             allow_nonstandard_methods=True,
             follow_redirects=False,
             decompress_response=False,
-            connect_timeout=min(
-                transfer.CONNECT_TIMEOUT_MS, outgoing.timeout_ms
-            )
+            connect_timeout=min(self.patience.timeout_ms, outgoing.timeout_ms)
             / 1000,
             request_timeout=outgoing.timeout_ms / 1000,
         )
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -187,12 +187,12 @@
     ) -> int:
         if self.stage is not Stage.NOT_SENT or self._cancelled:
             return pycurl.PREREQFUNC_ABORT
-        if not self._may_send():
-            return pycurl.PREREQFUNC_ABORT
-        self.stage = Stage.SENT
         self.connect_s = time.monotonic() - self._started_s
         self.reused = local_port in self._used_ports
         self._used_ports.add(local_port)
+        if not self._may_send():
+            return pycurl.PREREQFUNC_ABORT
+        self.stage = Stage.SENT
         return pycurl.PREREQFUNC_OK
 
     def _progress(self, *_: ty.Any) -> int:
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -157,11 +157,17 @@
   3: string leader_host,
 }
 
-/** Committed entries, or a snapshot of the map, for a daemon. */
+/** Committed entries for a daemon. */
+struct Entries {
+  1: list<Entry> entries,
+}
+
+/** Entries, or a snapshot of the map, for a daemon; both are compressed. */
 struct FeedRequest {
   1: i64 previous_index,
   2: i64 last_index,
-  3: list<Entry> entries,
+  /** Entries. */
+  3: binary entries,
   4: binary snapshot,
 }
 
--- a/tests/routing/test_fleet_decisions.py
+++ b/tests/routing/test_fleet_decisions.py
@@ -10,6 +10,7 @@
 
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import connect_patience
 from goldcrestproxy.routing import demand
 from goldcrestproxy.routing import key_placement
 from goldcrestproxy.routing import load_split
@@ -314,3 +315,47 @@
     assert not late(500.0, True)
     assert late(600.0, False)
     assert not late(900.0, False)
+
+
+def test_connections_are_made_over_a_full_link():
+    """Each takes 400 ms; the usual limit would let none of them succeed."""
+    patience = connect_patience.ConnectPatience()
+    made = 0
+    for _ in range(40):
+        if patience.timeout_ms >= 400:
+            patience.connected(400.0)
+            made += 1
+        else:
+            patience.timed_out()
+    assert made > 20
+    for _ in range(60):
+        patience.connected(3.0)
+    assert patience.timeout_ms == connect_patience.TIMEOUT_MS_MIN
+
+
+def test_a_few_dead_targets_do_not_make_a_host_patient():
+    patience = connect_patience.ConnectPatience()
+    for number in range(200):
+        if number % 10:
+            patience.connected(4.0)
+        else:
+            patience.timed_out()
+    assert patience.timeout_ms < 2 * connect_patience.TIMEOUT_MS_MIN
+
+
+def test_too_little_time_is_no_failure_of_the_target():
+    busy = stats(work_ms=240.0)
+    assert not busy.is_overdue(400.0, 1.0)
+    assert busy.is_overdue(1500.0, 1.0)
+
+
+def test_chance_cuts_no_block():
+    """Early on three requests for one of 9,000 blocks are many in parts."""
+    measured = demand.KeyDemand()
+    sizes = dict.fromkeys(range(9000), 7)
+    for block in range(0, 9000, 13):
+        measured.count(block, 3, 1.0)
+    counted = measured.requests(1.0)
+    assert max(counted.values()) < demand.CUT_REQUESTS_MIN
+    weights = measured.weights(sizes, 1.0, presumed_requests=198 * 40)
+    assert max(weights.values()) < 0.3 / 198
