A randomized soak of the fleet's real programs

Links that are delayed, reset, cut one way or silenced; processes that are killed, frozen, stopped and restarted; wiped disks and torn logs; targets with slow clocks. Checked: one run of unsafe requests, true refusals, own answers, one holder of a key, planned stops, accepted items, recovery, exits, memory.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -35,6 +35,7 @@
         self.processes = {}
         self.logs = {}
         peer, registrants, callers, balancer = free_ports(4)
+        self.peer_port = peer
         self.ports = {"callers": callers, "balancer": balancer}
         self.registrants = [
             f"127.0.0.{n + 1}:{registrants}" for n in range(controls)
@@ -60,6 +61,14 @@
                 },
             )
 
+    def change_settings(self, name, **changes):
+        """Change a daemon's settings before it is started."""
+        self._settings[name].update(changes)
+
+    def set_first_start(self, name, value):
+        """Say whether the whole fleet starts for the first time."""
+        self._settings[name]["fleet"]["first_start"] = value
+
     def _add(self, name, address, peer, endpoints, **more):
         self._settings[name] = {
             "host": name,
@@ -92,16 +101,19 @@
                 str(file),
             )
 
-    def add_target(self, name, service, *, keyed=False):
-        (port,) = free_ports(1)
+    def add_target(self, name, service, *options, keyed=False, address=None):
+        if address is None:
+            (port,) = free_ports(1)
+            address = f"127.0.0.1:{port}"
         self._run(
             name,
             [sys.executable, str(HERE / "stand_in_fleet.py")],
             name,
             service,
-            f"127.0.0.1:{port}",
+            address,
             ",".join(self.registrants),
             *(["--keyed"] if keyed else []),
+            *options,
         )
 
     def _run(self, name, program, *words):
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,203 @@
+"""Callers that keep using open connections, whatever happens to them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+
+import attrs
+
+READ_BYTES = 65536
+DEADLINE_S = 2.0
+# Beyond the deadline and the longest wait for an answer that comes late.
+GIVE_UP_S = 6.0
+
+
+@attrs.define
+class Outcome:
+    """One request as its caller saw it.
+
+    ``status`` is None where no whole answer came, and ``ended`` says why.
+    """
+
+    request_id: str
+    entry: str
+    kind: str
+    key: int | None
+    sent_s: float
+    done_s: float = 0.0
+    status: int | None = None
+    ended: str = ""
+    signed: bool = False
+    right_body: bool = False
+    # The request was written whole before the connection ended.
+    written: bool = False
+
+
+class Caller:
+    """Sends one request after the other on one connection at a time."""
+
+    def __init__(self, number, addresses, seed, outcomes):
+        self._number = number
+        # Where each entry host is reached, by its name.
+        self._addresses = addresses
+        self._rng = random.Random(f"{seed}/{number}")
+        self._outcomes = outcomes
+        self._count = 0
+        self._streams = None
+        self._entry = ""
+
+    async def run(self):
+        """Send until cancelled."""
+        while True:
+            await self.once()
+            await asyncio.sleep(self._rng.expovariate(10))
+
+    async def once(self):
+        """Send one request."""
+        self._count += 1
+        kind = self._rng.choice(["look", "look", "book", "book", "photo"])
+        key = None if kind == "photo" else self._rng.randrange(65536)
+        request_id = f"{self._number:04x}{self._count:012x}"
+        body = b"" if kind == "look" else f"body of {request_id}".encode()
+        if kind == "photo":
+            body *= self._rng.randint(1, 3000)
+        try:
+            async with asyncio.timeout(1.0):
+                await self._connect()
+        except (OSError, TimeoutError):
+            self._drop()
+            return
+        outcome = Outcome(request_id, self._entry, kind, key, time.monotonic())
+        self._outcomes.append(outcome)
+        try:
+            async with asyncio.timeout(GIVE_UP_S):
+                await self._exchange(outcome, body)
+        except TimeoutError:
+            outcome.ended = "silent"
+            self._drop()
+        except (OSError, EOFError) as error:
+            outcome.ended = f"closed: {error!r}"
+            self._drop()
+        outcome.done_s = time.monotonic()
+
+    async def _connect(self):
+        if self._streams is None:
+            self._entry = self._rng.choice(sorted(self._addresses))
+            address = self._addresses[self._entry]
+            self._streams = await asyncio.open_connection(*address)
+
+    def _drop(self):
+        if self._streams is not None:
+            self._streams[1].close()
+        self._streams = None
+
+    async def _exchange(self, outcome, body):
+        reader, writer = self._streams
+        method = "GET" if outcome.kind == "look" else "POST"
+        head = [
+            f"{method} /{outcome.kind}/{outcome.request_id} HTTP/1.1",
+            "Host: desk.example",
+            f"Attempt-Id: {outcome.request_id}",
+            f"Deadline-Ms: {DEADLINE_S * 1000:.0f}",
+        ]
+        if outcome.key is not None:
+            head.append(f"Shard-Key: {outcome.key}")
+        if body:
+            head.append(f"Content-Length: {len(body)}")
+        writer.write("\r\n".join([*head, "", ""]).encode() + body)
+        await writer.drain()
+        outcome.written = True
+        status, headers, answer = await _read_answer(reader)
+        outcome.status = status
+        outcome.signed = "response-signature" in headers
+        wanted = b"looked up" if outcome.kind == "look" else body
+        outcome.right_body = answer == wanted and (
+            headers.get("attempt-id") == outcome.request_id
+        )
+        if headers.get("connection", "").lower() == "close":
+            self._drop()
+
+
+async def _read_answer(reader):
+    """Read one answer whole.
+
+    :raises EOFError: when the connection ends before that
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    first, *lines = head.split("\r\n")
+    headers = {}
+    for line in filter(None, lines):
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+    else:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return int(first.split(" ")[1]), headers, body
+
+
+class Operator:
+    """Changes the configuration all along, and remembers what it was told."""
+
+    def __init__(self, registrants, make_items, seed):
+        self._registrants = registrants
+        self._make_items = make_items
+        self._rng = random.Random(f"{seed}/operator")
+        self.sent = {}
+        self.acknowledged = 0
+
+    async def run(self):
+        """Send a change a second, each until it has a clear answer."""
+        version = 1
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+            version += self._rng.randint(1, 3)
+            timeout_ms = self._rng.randint(5_000, 30_000)
+            self.sent[version] = timeout_ms
+            body = self._make_items(version, timeout_ms=timeout_ms)
+            while True:
+                status, _ = await self.call("PATCH", body)
+                if status == 200:
+                    self.acknowledged = version
+                    break
+                if status is not None and 400 <= status < 500:
+                    raise AssertionError(f"refused version {version}")
+                await asyncio.sleep(0.1)
+
+    async def read_back(self):
+        """Return version and timeout of each route, None without an answer."""
+        status, body = await self.call("GET", "")
+        if status != 200:
+            return None
+        return {
+            route["name"]: (route["version"], route["timeout_ms"])
+            for route in json.loads(body)["routes"]
+        }
+
+    async def call(self, method, body):
+        """Make one call to any control host; status None without an answer."""
+        host, port = self._rng.choice(self._registrants).split(":")
+        writer = None
+        try:
+            async with asyncio.timeout(1.5):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                data = body.encode()
+                writer.write(
+                    f"{method} /goldcrestproxy/config HTTP/1.1\r\n"
+                    f"Host: {host}\r\nContent-Length: {len(data)}\r\n"
+                    "Connection: close\r\n\r\n".encode()
+                    + data
+                )
+                status, _, answer = await _read_answer(reader)
+                return status, answer
+        except (OSError, EOFError, TimeoutError):
+            return None, b""
+        finally:
+            if writer is not None:
+                writer.close()
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,197 @@
+"""What must hold in every run, judged from what callers and targets saw."""
+
+from __future__ import annotations
+
+import collections
+import json
+
+import attrs
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = {408, 421, 429, 503}
+# A grant that was held up on its way counts from when it was sent; targets
+# and this process read the same clock, so nothing is added for that.
+HOLD_OVERLAP_S_MAX = 0.0
+# Of the requests after the last fault and the time to recover.
+SERVED_PART_MIN = 0.9
+# A crash in the same moment may make a planned stop cut a request.
+STOP_CALM_S = 3.0
+# How long a process may take to stop.
+GRACE_S = 6.0
+
+
+@attrs.frozen
+class Run:
+    """A request that began to run at a target, or a hold that it took."""
+
+    target: str
+    at_s: float
+    key: int | None
+
+
+def read_events(logs):
+    """Return runs by request id, and holds as (key range, time) rows.
+
+    :param logs: the log file of each target's process
+    """
+    runs = collections.defaultdict(list)
+    holds = []
+    for name, log in logs.items():
+        for line in log.read_text(errors="replace").splitlines():
+            if not line.startswith("EVENT "):
+                continue
+            try:
+                event = json.loads(line[len("EVENT ") :])
+            except ValueError:
+                # The process was killed in the middle of a line.
+                continue
+            if event["kind"] == "run":
+                key = event["key"]
+                runs[event["id"]].append(
+                    Run(name, event["at_s"], None if key is None else int(key))
+                )
+            elif event["kind"] == "hold":
+                holds.append((name, event))
+    return runs, holds
+
+
+def check(outcomes, runs, holds, ends, stops, faults):
+    """Return a line for each broken promise.
+
+    :param ends: times at which each process ended, by its name
+    :param stops: (entry host, from, to) of planned stops
+    :param faults: (from, to) of everything that was not planned
+    """
+    found = []
+    for outcome in outcomes:
+        found.extend(_check_request(outcome, runs[outcome.request_id]))
+    found.extend(_check_unasked(outcomes, runs))
+    found.extend(_check_owners(holds, ends))
+    found.extend(_check_stops(outcomes, runs, stops, faults))
+    return found
+
+
+def _check_request(outcome, ran):
+    name = f"{outcome.kind} {outcome.request_id}"
+    if outcome.kind != "look" and len(ran) > 1:
+        yield f"TWICE: {name} ran at {[run.target for run in ran]}"
+    if outcome.status in NOT_RUN and ran:
+        yield f"REFUSED: {name} got {outcome.status} and ran at {ran}"
+    if outcome.status == 200:
+        if not outcome.signed or not outcome.right_body:
+            yield f"MIXED: {name} got another answer than its own"
+        if not ran:
+            yield f"MIXED: {name} got an answer and never ran"
+
+
+def _check_unasked(outcomes, runs):
+    asked = {outcome.request_id for outcome in outcomes}
+    for request_id in runs:
+        if request_id and request_id not in asked:
+            yield f"UNASKED: {request_id} ran and nobody sent it"
+
+
+def _check_owners(holds, ends):
+    """A key has one holder at a time, and its tokens grow."""
+    spans = collections.defaultdict(list)
+    by_target = collections.defaultdict(list)
+    for target, event in holds:
+        by_target[target].append(event)
+    for target, events in by_target.items():
+        for event, after in zip(events, [*events[1:], None], strict=True):
+            # A later answer replaces the hold, and a killed process ends it.
+            until_s = event["until_s"]
+            if after is not None:
+                until_s = min(until_s, after["at_s"])
+            later = [
+                end for end in ends.get(target, ()) if end > event["at_s"]
+            ]
+            until_s = min([until_s, *later])
+            if until_s <= event["at_s"]:
+                continue
+            for first, last, token in event["ranges"]:
+                spans[target, token, first, last].append(
+                    (event["at_s"], until_s)
+                )
+    merged = _merge(spans)
+    merged.sort(key=lambda span: span[2])
+    return _overlaps(merged)
+
+
+def _merge(spans):
+    """Return (first, last, from, until, token, target) without gaps."""
+    merged = []
+    for (target, token, first, last), times in spans.items():
+        times.sort()
+        start_s, end_s = times[0]
+        for from_s, until_s in times[1:]:
+            if from_s <= end_s + 0.001:
+                end_s = max(end_s, until_s)
+            else:
+                merged.append((first, last, start_s, end_s, token, target))
+                start_s, end_s = from_s, until_s
+        merged.append((first, last, start_s, end_s, token, target))
+    return merged
+
+
+def _overlaps(merged):
+    found = []
+    open_spans = []
+    for span in merged:
+        first, last, from_s, until_s, token, target = span
+        open_spans = [o for o in open_spans if o[3] > from_s]
+        for other in open_spans:
+            if other[5] == target or other[0] > last or other[1] < first:
+                continue
+            if min(until_s, other[3]) - from_s > HOLD_OVERLAP_S_MAX:
+                found.append(
+                    f"OWNER: {target} with token {token} and {other[5]} with "
+                    f"token {other[4]} both hold keys {max(first, other[0])} "
+                    f"to {min(last, other[1])} at {from_s:.3f}"
+                )
+        open_spans.append(span)
+    return found
+
+
+def _check_stops(outcomes, runs, stops, faults):
+    """A planned stop cuts no request that was sent on to a target."""
+    for outcome in outcomes:
+        if outcome.status is not None or not runs[outcome.request_id]:
+            continue
+        for entry, from_s, to_s in stops:
+            if outcome.entry != entry or not (
+                from_s <= outcome.done_s <= to_s + 1
+            ):
+                continue
+            calm = not any(
+                start < outcome.done_s and end > outcome.sent_s - STOP_CALM_S
+                for start, end in faults
+            )
+            if calm:
+                yield (
+                    f"LOST: {outcome.kind} {outcome.request_id} was cut by "
+                    f"the stop of {entry}: {outcome.ended}"
+                )
+
+
+def check_items(read, sent, acknowledged):
+    """Return a line for each item that is older than what was accepted."""
+    if read is None:
+        yield "CONFIG: nobody could read the configuration back"
+        return
+    for name, (version, timeout_ms) in read.items():
+        if version < acknowledged:
+            yield (
+                f"CONFIG: {name} has version {version}; {acknowledged} was "
+                "acknowledged"
+            )
+        if version in sent and sent[version] != timeout_ms:
+            yield f"CONFIG: {name} {version} is not what was sent"
+
+
+def check_recovery(outcomes, from_s):
+    """Return a line when too few requests are served after all faults."""
+    late = [o for o in outcomes if o.sent_s >= from_s and o.done_s]
+    served = sum(outcome.status == 200 for outcome in late)
+    if not late or served < SERVED_PART_MIN * len(late):
+        yield f"RECOVER: {served} of {len(late)} requests served at the end"
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -69,6 +69,9 @@
                 self._pump(key, reader, back_writer, inward=True),
                 self._pump(key, back_reader, writer, inward=False),
             )
+        except asyncio.CancelledError:
+            # The run is over; asyncio would print this as an error.
+            pass
         finally:
             self._connections.pop(key, None)
             self._silenced.discard(key)
--- /dev/null
+++ b/tests/soak/running.py
@@ -0,0 +1,367 @@
+"""One run: the real programs as processes, faults from outside, promises."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import shutil
+import signal
+import time
+
+import attrs
+import fleet as fleets
+from soak import callers
+from soak import checks
+from soak import faults
+from soak import proxy
+
+CONTROLS = 3
+LOSSES_TOLERATED = 1
+# Control hosts listen for peers at 127.0.1.n; the others reach them through
+# a link at the address in their settings, 127.0.0.n.
+PEER_LISTEN = "127.0.1.{}"
+CALLER_LINK = "127.0.5.{}"
+TARGET_LISTEN = "127.0.3.{}"
+TARGET_LINK = "127.0.4.{}"
+REGISTRANT_LINK = "127.0.2.{}"
+CALLERS_A_HOST = 4
+READY_S = 30.0
+STOP_S_MAX = 9.0
+RESIDENT_MB_MAX = 200
+
+
+@attrs.define
+class Result:
+    """What a run showed."""
+
+    seed: int
+    faults: int
+    requests: int
+    served: int
+    acknowledged: int
+    broken: list[str]
+
+
+class Soak:
+    """Everything that a run starts, and nothing else is ever ended."""
+
+    def __init__(self, folder, seed, length_s, processes):
+        self.seed = seed
+        self.length_s = length_s
+        targets = max(3, (processes - CONTROLS) * 2 // 3)
+        entries = max(2, processes - CONTROLS - targets)
+        self.fleet = fleets.Fleet(folder, controls=CONTROLS, entries=entries)
+        self.entries = [f"entry-{n}" for n in range(entries)]
+        self.targets = [f"target-{n}" for n in range(targets)]
+        self.links = {}
+        self.outcomes = []
+        self.ends = {}
+        self.stops = []
+        self.fault_spans = []
+        self.exits = []
+        self._busy = set()
+        self._target_words = {}
+
+    def _add_link(self, name, listen, to):
+        self.links.setdefault(name, []).append(proxy.Link(name, listen, to))
+
+    def lay_out(self):
+        """Give every process its addresses and links."""
+        fleet = self.fleet
+        for n in range(CONTROLS):
+            name = f"control-{n}"
+            host, port = fleet.registrants[n].split(":")
+            peer_port = fleet.peer_port
+            fleet.change_settings(
+                name, peer_listen_address=PEER_LISTEN.format(n + 1)
+            )
+            self._add_link(
+                name, (host, peer_port), (PEER_LISTEN.format(n + 1), peer_port)
+            )
+            self._add_link(
+                name,
+                (REGISTRANT_LINK.format(n + 1), int(port)),
+                (host, int(port)),
+            )
+        caller_port = fleet.ports["callers"]
+        for n, name in enumerate(self.entries):
+            self._add_link(
+                name,
+                (CALLER_LINK.format(n + 1), caller_port),
+                (f"127.0.0.{n + 11}", caller_port),
+            )
+        (port,) = fleets.free_ports(1)
+        for n, name in enumerate(self.targets):
+            listen = (TARGET_LISTEN.format(n + 1), port)
+            reached = (TARGET_LINK.format(n + 1), port)
+            self._add_link(name, reached, listen)
+            self._target_words[name] = (reached, listen)
+
+    def start_target(self, name):
+        reached, listen = self._target_words[name]
+        number = int(name.rpartition("-")[2])
+        registrants = self.fleet.registrants
+        port = registrants[0].split(":")[1]
+        self.fleet.registrants = [
+            f"{REGISTRANT_LINK.format(n + 1)}:{port}" for n in range(CONTROLS)
+        ]
+        pooled = number % 4 == 3
+        self.fleet.add_target(
+            name,
+            "vault" if pooled else "desk",
+            "--events",
+            "--listen",
+            f"{listen[0]}:{listen[1]}",
+            # Some clocks measure holds too slowly.
+            "--slow",
+            "0.02" if number % 2 else "0",
+            keyed=not pooled,
+            address=f"{reached[0]}:{reached[1]}",
+        )
+        self.fleet.registrants = registrants
+
+    def start(self, name):
+        if name in self.targets:
+            self.start_target(name)
+        else:
+            self.fleet.start(name)
+
+    async def run(self):
+        """Play the run and return what it showed."""
+        fleet = self.fleet
+        self.lay_out()
+        for links in self.links.values():
+            for link in links:
+                await link.start()
+        fleet.start()
+        operator = callers.Operator(
+            [
+                f"{REGISTRANT_LINK.format(n + 1)}:{at.split(':')[1]}"
+                for n, at in enumerate(fleet.registrants)
+            ],
+            fleets.items,
+            self.seed,
+        )
+        await self._configure(operator)
+        for name in self.targets:
+            self.start_target(name)
+        await self._wait_ready()
+        working = [asyncio.create_task(operator.run())]
+        working += [
+            asyncio.create_task(caller.run()) for caller in self._callers()
+        ]
+        watching = asyncio.create_task(self._watch_exits())
+        started_s = time.monotonic()
+        drawn = self._draw()
+        await asyncio.gather(
+            *(self._play(fault, started_s) for fault in drawn)
+        )
+        quiet_s = time.monotonic() + faults.QUIET_END_S - 6.0
+        await asyncio.sleep(faults.QUIET_END_S)
+        watching.cancel()
+        for task in working:
+            task.cancel()
+        done = await asyncio.gather(*working, return_exceptions=True)
+        broken = [str(e) for e in done if isinstance(e, AssertionError)]
+        broken += await self._judge(operator, quiet_s)
+        return Result(
+            self.seed,
+            len(drawn),
+            len(self.outcomes),
+            sum(outcome.status == 200 for outcome in self.outcomes),
+            operator.acknowledged,
+            broken,
+        )
+
+    def close(self):
+        """End what this run started."""
+        for links in self.links.values():
+            for link in links:
+                with contextlib.suppress(AttributeError):
+                    link.close()
+        self.fleet.close()
+
+    def _draw(self):
+        names = [f"control-{n}" for n in range(CONTROLS)]
+        return faults.draw(
+            self.seed,
+            self.length_s,
+            [*names, *self.entries, *self.targets],
+            sorted(self.links),
+            LOSSES_TOLERATED,
+        )
+
+    def _callers(self):
+        port = self.fleet.ports["callers"]
+        addresses = {
+            name: (CALLER_LINK.format(n + 1), port)
+            for n, name in enumerate(self.entries)
+        }
+        for number in range(CALLERS_A_HOST * len(self.entries)):
+            yield callers.Caller(number, addresses, self.seed, self.outcomes)
+
+    async def _configure(self, operator):
+        body = fleets.items(1, timeout_ms=30_000)
+        deadline_s = time.monotonic() + READY_S
+        while (await operator.call("PATCH", body))[0] != 200:
+            if time.monotonic() > deadline_s:
+                raise AssertionError("RECOVER: no first configuration")
+            await asyncio.sleep(0.1)
+        operator.acknowledged = 1
+        operator.sent[1] = 30_000
+
+    async def _wait_ready(self):
+        deadline_s = time.monotonic() + READY_S
+        probe = callers.Caller(
+            0xFFFF,
+            {
+                self.entries[-1]: (
+                    CALLER_LINK.format(len(self.entries)),
+                    self.fleet.ports["callers"],
+                )
+            },
+            self.seed,
+            self.outcomes,
+        )
+        served = 0
+        while served < 10:
+            await probe.once()
+            served = (
+                served + 1
+                if self.outcomes[-1:] and (self.outcomes[-1].status == 200)
+                else 0
+            )
+            if time.monotonic() > deadline_s:
+                raise AssertionError("RECOVER: never served at the start")
+            await asyncio.sleep(0.05)
+
+    async def _play(self, fault, started_s):
+        await asyncio.sleep(max(0, started_s + fault.at_s - time.monotonic()))
+        from_s = time.monotonic()
+        match fault:
+            case faults.Kill(process=name, wiped=wiped):
+                await self._kill([name], fault.for_s, wiped=wiped)
+            case faults.TearLog(process=name, torn_bytes=torn):
+                await self._kill([name], fault.for_s, torn_bytes=torn)
+            case faults.KillControl():
+                names = [f"control-{n}" for n in range(CONTROLS)]
+                await self._kill(names, fault.for_s)
+            case faults.Stop(process=name):
+                await self._stop(name)
+            case faults.Freeze(process=name):
+                self.fleet.signal(name, signal.SIGSTOP)
+                await asyncio.sleep(fault.for_s)
+                self.fleet.signal(name, signal.SIGCONT)
+            case faults.HangUp(process=name):
+                if name not in self.targets:
+                    self.fleet.signal(name, signal.SIGHUP)
+            case faults.Disturb(link=name):
+                for link in self.links[name]:
+                    link.disturbance = proxy.Disturbance(
+                        fault.delay_s, fault.drops_in, fault.drops_out
+                    )
+                await asyncio.sleep(fault.for_s)
+                for link in self.links[name]:
+                    link.disturbance = proxy.Disturbance()
+            case faults.Break(link=name, silent=silent):
+                for link in self.links[name]:
+                    link.silence() if silent else link.reset()
+        if not isinstance(fault, faults.Stop | faults.HangUp):
+            self.fault_spans.append((from_s, time.monotonic()))
+
+    async def _kill(self, names, for_s, *, wiped=False, torn_bytes=0):
+        self._busy.update(names)
+        for name in names:
+            self.fleet.signal(name, signal.SIGKILL)
+        for name in names:
+            await asyncio.to_thread(self.fleet.wait_ended, name)
+            self.ends.setdefault(name, []).append(time.monotonic())
+            if name.startswith("control-"):
+                self._damage(name, wiped=wiped, torn_bytes=torn_bytes)
+        await asyncio.sleep(for_s)
+        for name in names:
+            self.start(name)
+        self._busy.difference_update(names)
+
+    def _damage(self, name, *, wiped, torn_bytes):
+        folder = self.fleet.folder / f"data-{name.rpartition('-')[2]}"
+        if wiped:
+            shutil.rmtree(folder)
+            folder.mkdir()
+            # The platform says so when a disk comes back empty.
+            self.fleet.set_first_start(name, False)
+        elif torn_bytes:
+            logs = sorted(folder.rglob("*.log"))
+            for log in logs[-1:]:
+                with log.open("ab") as file:
+                    file.write(b"\x00" * torn_bytes)
+
+    async def _stop(self, name):
+        self._busy.add(name)
+        from_s = time.monotonic()
+        self.fleet.signal(name, signal.SIGTERM)
+        try:
+            await asyncio.to_thread(self.fleet.wait_ended, name, STOP_S_MAX)
+        except Exception:
+            self.exits.append(f"STOP: {name} did not end in {STOP_S_MAX} s")
+            self.fleet.signal(name, signal.SIGKILL)
+            await asyncio.to_thread(self.fleet.wait_ended, name)
+        to_s = time.monotonic()
+        self.ends.setdefault(name, []).append(to_s)
+        if name in self.entries:
+            self.stops.append((name, from_s, to_s))
+        self.start(name)
+        self._busy.discard(name)
+
+    async def _watch_exits(self):
+        """Note processes that end by themselves."""
+        reported = set()
+        while True:
+            for name, process in self.fleet.processes.items():
+                code = process.poll()
+                if code is None or name in self._busy:
+                    continue
+                if process.pid not in reported:
+                    reported.add(process.pid)
+                    self.exits.append(f"EXIT: {name} ended with {code}")
+            await asyncio.sleep(0.05)
+
+    async def _judge(self, operator, quiet_s):
+        runs, holds = checks.read_events(
+            {name: self.fleet.logs[name] for name in self.targets}
+        )
+        broken = list(self.exits)
+        broken += checks.check(
+            self.outcomes, runs, holds, self.ends, self.stops, self.fault_spans
+        )
+        broken += checks.check_recovery(self.outcomes, quiet_s)
+        read = None
+        for _ in range(20):
+            read = await operator.read_back()
+            if read is not None:
+                break
+            await asyncio.sleep(0.2)
+        broken += checks.check_items(
+            read, operator.sent, operator.acknowledged
+        )
+        return [*broken, *self._check_memory()]
+
+    def _check_memory(self):
+        for name, process in self.fleet.processes.items():
+            if name in self.targets or process.poll() is not None:
+                continue
+            with open(f"/proc/{process.pid}/statm") as file:
+                resident_mb = int(file.read().split()[1]) * 4096 / 1e6
+            if resident_mb > RESIDENT_MB_MAX:
+                yield f"MEMORY: {name} has {resident_mb:.0f} MB"
+
+
+async def play(folder, seed, length_s, processes):
+    """Play one run in a folder of its own."""
+    soak = Soak(folder, seed, length_s, processes)
+    try:
+        return await soak.run()
+    except AssertionError as error:
+        return Result(seed, 0, len(soak.outcomes), 0, 0, [str(error)])
+    finally:
+        soak.close()
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -5,7 +5,8 @@
 
     python stand_in_fleet.py ID SERVICE ADDRESS:PORT CONTROL,CONTROL [--keyed]
 
-Each request that runs adds a line "RUN request-id" to standard output.
+Each request that runs adds a line "RUN request-id" to standard output. With
+``--events`` holds and runs are written as JSON lines with their time besides.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import itertools
 import json
 import signal
+import sys
 import time
 
 from tornado import httpclient
@@ -23,6 +25,8 @@
 
 HEARTBEAT_S = 0.2
 WORK_S = 0.01
+# A target that leaves serves on for so long.
+DRAIN_S = 2.5
 
 
 class Target:
@@ -32,6 +36,12 @@
         self.address = given.address
         self.controls = given.controls.split(",")
         self.keyed = given.keyed
+        self.listen = given.listen or given.address
+        self.events = given.events
+        # A clock that measures holds too slowly lets them last longer.
+        self.clock_rate = 1 - given.slow
+        # The highest token by first key, whatever was held since.
+        self.seen_tokens = {}
         self.born = int(time.time() * 1000)
         self.sequence = itertools.count(1)
         self.state = "ready"
@@ -82,12 +92,51 @@
         self.released = []
         if "held" not in answer:
             return
-        granted = {f: (last, t) for f, last, t, _ in answer["held"]}
+        granted = {
+            f: (last, t)
+            for f, last, t, _ in answer["held"]
+            if self.seen_tokens.get(f, 0) <= t
+        }
+        self.seen_tokens.update({f: t for f, (_, t) in granted.items()})
+        if time.monotonic() >= self.until_s:
+            # What ran out is not reported as released.
+            self.held = {}
         for first, (last, token) in self.held.items():
-            if first not in granted:
+            if not any(f <= first <= end for f, (end, _) in granted.items()):
                 self.released.append([first, last, f"{self.name}-{token}"])
         self.held = granted
-        self.until_s = sent_s + answer["hold_ms"] / 1000
+        self.until_s = sent_s + answer["hold_ms"] / 1000 / self.clock_rate
+        self.note(
+            "hold",
+            until_s=self.until_s,
+            ranges=[[f, last, t] for f, (last, t) in granted.items()],
+        )
+
+    def note(self, kind, **fields):
+        if self.events:
+            event = {"kind": kind, "at_s": time.monotonic(), **fields}
+            print("EVENT " + json.dumps(event), flush=True)
+
+    async def leave(self):
+        """Report the end, serve on for a while, say goodbye, and go."""
+        self.state = "draining"
+        client = httpclient.AsyncHTTPClient()
+        for _ in range(10):
+            if await self.beat(client):
+                break
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(DRAIN_S)
+        for control in self.controls:
+            try:
+                await client.fetch(
+                    f"http://{control}/goldcrestproxy/instances/{self.name}",
+                    method="DELETE",
+                    request_timeout=1.0,
+                )
+                break
+            except Exception:
+                continue
+        sys.exit(0)
 
     async def run(self):
         client = httpclient.AsyncHTTPClient()
@@ -118,8 +167,13 @@
             self.set_header("Not-Executed", "1")
             return
         print(f"RUN {request_id}", flush=True)
+        self.target.note("run", id=request_id, key=key)
         await asyncio.sleep(float(asked.get("Work-Seconds", WORK_S)))
         self.set_header("Response-Signature", f"{self.target.name}.sig")
+        if self.target.keyed and not self.target.holds(int(key)):
+            # The work has outlasted the hold.
+            self.set_status(500)
+            return
         if "Fail-With" in asked:
             self.set_status(int(asked["Fail-With"]))
             self.write(b"failed")
@@ -136,8 +190,13 @@
     parser.add_argument("address")
     parser.add_argument("controls")
     parser.add_argument("--keyed", action="store_true")
+    parser.add_argument("--events", action="store_true")
+    parser.add_argument("--listen", help="if not where others reach it")
+    parser.add_argument(
+        "--slow", type=float, default=0.0, help="part by which a clock lags"
+    )
     target = Target(parser.parse_args())
-    host, port = target.address.split(":")
+    host, port = target.listen.split(":")
     server = httpserver.HTTPServer(
         web.Application([(r"/.*", Handler, {"target": target})])
     )
@@ -146,7 +205,11 @@
     def leave():
         target.state = "draining"
 
-    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leave)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, leave)
+    loop.add_signal_handler(
+        signal.SIGTERM, lambda: asyncio.create_task(target.leave())
+    )
     await target.run()
 
 
