Wait for the new owner of a denied block; budgets for each service

Repetitions of one service were paid from the requests of all, and a tenth of them only.

Change: a block that its owner denies has no owner here until the state says otherwise, for a quarter of a second at most. Budgets by service, 0.8 of the ratio, half of the slack as before (a full bucket and its refill fall into one window).

--- a/src/goldcrestproxy/daemon/composition.py
+++ b/src/goldcrestproxy/daemon/composition.py
@@ -68,6 +68,7 @@
     times = wire.ChannelTimes(
         heartbeat_ms=host_settings.timeouts.channel_heartbeat_ms,
         silence_ms=host_settings.timeouts.channel_silence_ms,
+        connect_ms=host_settings.timeouts.channel_connect_ms,
     )
     peers = wire.Peers(hello, handlers, times)
     control_service = _control_service(host_settings, peers, handlers)
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -32,9 +32,11 @@
 WATCH_INTERVAL_MS: ty.Final = 300
 # On a link of 2 Mbit/s an answer may wait behind uploads for half a second.
 WATCH_TIMEOUT_MS: ty.Final = 1200
-# A host uses part of the budget only, since hosts count their requests
-# apart and the platform counts them together.
-BUDGET_SHARE: ty.Final = 0.5
+# Part of the budget's ratio that is used: windows end at other moments here
+# than where they are counted.
+RATIO_SHARE: ty.Final = 0.8
+# Part of the slack: in one window a full bucket and its refill are spent.
+SLACK_SHARE: ty.Final = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -90,6 +92,7 @@
     times = wire.ChannelTimes(
         heartbeat_ms=host_settings.timeouts.channel_heartbeat_ms,
         silence_ms=host_settings.timeouts.channel_silence_ms,
+        connect_ms=host_settings.timeouts.channel_connect_ms,
     )
     peers = wire.Peers(hello, handlers, times)
     peer_server = wire.PeerServer(hello, handlers, times)
@@ -241,9 +244,9 @@
             link.observations,
             clock,
         ),
-        resend.ResendBudget(
-            ratio=fleet_settings.resend_ratio * BUDGET_SHARE,
-            slack=fleet_settings.resend_slack * BUDGET_SHARE,
+        resend.ResendBudgets(
+            ratio=fleet_settings.resend_ratio * RATIO_SHARE,
+            slack=fleet_settings.resend_slack * SLACK_SHARE,
             window_s=fleet_settings.resend_window_s,
         ),
         host_settings.zone,
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -45,7 +45,7 @@
         self,
         fleet: fleet_map.FleetMap,
         sender: sending.Sender,
-        budget: resend.ResendBudget,
+        budgets: resend.ResendBudgets,
         zone: str,
         metrics: telemetry.Metrics,
         clock: ty.Callable[[], float],
@@ -55,7 +55,7 @@
         self._metrics = metrics
         self._fleet = fleet
         self._sender = sender
-        self._budget = budget
+        self._budgets = budgets
         self._zone = zone
         self._clock = clock
         self._rng = rng
@@ -139,7 +139,7 @@
                 raise
             try:
                 if not course.sent_to:
-                    self._budget.requested()
+                    self._budgets.of(course.service).requested()
                 return await self._send(course, target)
             except sending.SendingFailed as error:
                 course.failures.append(error.failure)
@@ -148,7 +148,7 @@
                     if course.answer is not None:
                         return course.answer
                     raise self._refusal(course) from error
-                await self._settle(course, error.failure)
+                self._settle(course, error.failure)
 
     def _may_resend(
         self, course: courses.Course, failure: resend.Failure
@@ -161,7 +161,7 @@
             sendings=len(course.sent_to),
             attempts_max=course.route.attempts_max,
             time_left_s=course.deadline_s - self._clock(),
-            take_budget=self._take_budget,
+            take_budget=lambda: self._take_budget(course.service),
         )
 
     async def _send(
@@ -183,21 +183,22 @@
             on_sent=sent,
         )
 
-    async def _settle(
-        self, course: courses.Course, failure: resend.Failure
-    ) -> None:
-        """Give a misdirected request's key time to settle."""
+    def _settle(self, course: courses.Course, failure: resend.Failure) -> None:
+        """Note that a misdirected request's key is changing hands.
+
+        The next choice waits for its new owner.
+        """
+        key = course.request.key
         match failure:
-            case resend.NotRun(misdirected=True):
-                left_s = course.deadline_s - self._clock()
-                await self._fleet.wait_change(
-                    min(HANDOVER_S / 3, left_s * HANDOVER_SHARE)
-                )
+            case resend.NotRun(misdirected=True) if key is not None:
+                self._fleet.note_denied(course.service, key)
             case _:
                 pass
 
-    def _take_budget(self) -> bool:
-        return self._budget.take(self._clock(), self._fleet.entry_hosts)
+    def _take_budget(self, service: str) -> bool:
+        return self._budgets.of(service).take(
+            self._clock(), self._fleet.entry_hosts
+        )
 
     async def _choose(self, course: courses.Course) -> fleet_map.KnownTarget:
         service = self._fleet.services.get(course.service)
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -18,6 +18,18 @@
 # A request that crashed targets is tried again after this, and quarantined
 # anew with its next crash: another request may only look like it.
 QUARANTINE_S: ty.Final = 120.0
+# A block that its owner denied has another one, or is held, after this.
+DENIED_S: ty.Final = 0.25
+
+
+@attrs.frozen(kw_only=True)
+class Ownership:
+    """A block of keys, its owner and the token by which it was given."""
+
+    service: str
+    first_key: int
+    owner: str
+    token: int
 
 
 @attrs.define(kw_only=True)
@@ -50,6 +62,8 @@
         self.targets: dict[str, KnownTarget] = {}
         self.services: dict[str, registry.Service] = {}
         self._by_service: dict[str, list[KnownTarget]] = {}
+        # Until when blocks are taken to be on their way to another owner.
+        self._denied: dict[Ownership, float] = {}
         self._link = link
         self._clock = clock
         self._rng = rng
@@ -86,12 +100,43 @@
         """Return the targets of a service that may get work."""
         return self._by_service.get(service, [])
 
-    def owner(self, service: str, key: int) -> KnownTarget | None:
-        """Return the target that owns a key, None while nobody does."""
+    def ownership(self, service: str, key: int) -> Ownership | None:
+        """Return who owns the block of a key by the newest state here."""
         space = self.registry.keyspaces.get(service)
         if space is None:
             return None
-        return self.targets.get(space.owner_of(key))
+        at = space.at(key)
+        return Ownership(
+            service=service,
+            first_key=space.firsts[at],
+            owner=space.owners[at],
+            token=space.tokens[at],
+        )
+
+    def owner(self, service: str, key: int) -> KnownTarget | None:
+        """Return the target that owns a key, None while nobody does.
+
+        Nor while its owner has just said that it does not.
+        """
+        owned = self.ownership(service, key)
+        if owned is None or self._is_denied(owned):
+            return None
+        return self.targets.get(owned.owner)
+
+    def note_denied(self, service: str, key: int) -> None:
+        """Note that the owner of a key does not hold it now."""
+        owned = self.ownership(service, key)
+        if owned is not None:
+            self._denied[owned] = self._clock() + DENIED_S
+
+    def _is_denied(self, owned: Ownership) -> bool:
+        until_s = self._denied.get(owned)
+        if until_s is None:
+            return False
+        if self._clock() < until_s:
+            return True
+        del self._denied[owned]
+        return False
 
     @property
     def observations(self) -> observations.Observations:
@@ -124,6 +169,12 @@
         if state.revision == self._revision:
             return
         self._revision = state.revision
+        now_s = self._clock()
+        self._denied = {
+            owned: until_s
+            for owned, until_s in self._denied.items()
+            if until_s > now_s
+        }
         if state.items_revision != self._items_revision:
             self._items_revision = state.items_revision
             routes = route_table.RouteTable(state.items.values())
--- a/src/goldcrestproxy/routing/resend.py
+++ b/src/goldcrestproxy/routing/resend.py
@@ -116,3 +116,23 @@
 
     def _cap(self, hosts: int) -> float:
         return max(1.0, self.slack / hosts)
+
+
+@attrs.define(kw_only=True)
+class ResendBudgets:
+    """A budget for each service: what one is asked buys another nothing."""
+
+    ratio: float
+    slack: float
+    window_s: float
+    _budgets: dict[str, ResendBudget] = attrs.field(init=False, factory=dict)
+
+    def of(self, service: str) -> ResendBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = ResendBudget(
+                ratio=self.ratio, slack=self.slack, window_s=self.window_s
+            )
+            self._budgets[service] = budget
+        return budget
--- a/src/goldcrestproxy/settings/host.py
+++ b/src/goldcrestproxy/settings/host.py
@@ -60,6 +60,9 @@
     channel_heartbeat_ms: int = attrs.field(
         default=100, validator=loading.in_range(5, 60_000)
     )
+    channel_connect_ms: int = attrs.field(
+        default=250, validator=loading.in_range(10, 60_000)
+    )
     channel_silence_ms: int = attrs.field(
         default=400, validator=loading.in_range(20, 600_000)
     )
--- a/src/goldcrestproxy/wire/channel.py
+++ b/src/goldcrestproxy/wire/channel.py
@@ -46,10 +46,12 @@
 
 @attrs.frozen(kw_only=True)
 class ChannelTimes:
-    """How a channel notices that its peer has gone, or is not needed."""
+    """How a channel is made, and how it notices that its peer has gone."""
 
     heartbeat_ms: int
     silence_ms: int
+    # From the first packet to the peer's hello.
+    connect_ms: int = 250
     idle_ms: int = 10_000
 
 
--- a/src/goldcrestproxy/wire/peers.py
+++ b/src/goldcrestproxy/wire/peers.py
@@ -19,8 +19,6 @@
 
 LOG = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_MS: ty.Final = 250
-
 
 @attrs.frozen
 class PeerAddress:
@@ -132,7 +130,7 @@
 
     async def _connect(self, address: PeerAddress) -> channels.Channel:
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(self._times.connect_ms / 1000):
                 stream = await self._client.connect(
                     address.address, address.peer_port
                 )
--- /dev/null
+++ b/tests/control/test_watch_relay.py
@@ -0,0 +1,91 @@
+"""A follower feeds entry hosts and passes on what they measured."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+
+import pytest
+
+from goldcrestproxy import control
+from goldcrestproxy.control import observations
+from goldcrestproxy.control import watch_relay
+from goldcrestproxy import errors
+from goldcrestproxy import wire
+
+
+class FakePeers:
+    """Notes reports; answers as the leader would, or not at all."""
+
+    def __init__(self):
+        self.requests = []
+        self.error = None
+
+    async def call(self, _address, method, request, _timeout_ms):
+        assert method is wire.Method.WATCH
+        if self.error is not None:
+            raise self.error
+        self.requests.append(request)
+        return wire.ttypes.WatchReply(
+            serving=True, entry_hosts=80, map_index=9
+        )
+
+
+@pytest.fixture
+def peers():
+    return FakePeers()
+
+
+@pytest.fixture
+def relay(peers):
+    leader = types.SimpleNamespace(
+        host="control-a", peer=wire.PeerAddress("10.0.0.1", 7000)
+    )
+    replica = types.SimpleNamespace(
+        host="control-b",
+        peers=peers,
+        is_leader=False,
+        leader_host="control-a",
+        members=types.SimpleNamespace(members=[leader]),
+        address_of=lambda member: member.peer,
+        state=control.ControlState(),
+    )
+    feeder = types.SimpleNamespace(entry_hosts=2, feed=lambda *_, **__: None)
+    return watch_relay.WatchRelay(replica, feeder)
+
+
+def report(host):
+    measured = observations.Observations()
+    measured.requested("desk", 64)
+    measured.requested("desk", 64)
+    measured.broke_off("t1", 1, "poison")
+    request = wire.ttypes.WatchRequest(
+        host=host, session="s", zone="z", applied_index=0, entry=True
+    )
+    measured.take(request)
+    return request
+
+
+async def pass_on(relay):
+    task = asyncio.create_task(relay.run())
+    await asyncio.sleep(watch_relay.REPORT_INTERVAL_S * 1.5)
+    task.cancel()
+
+
+def test_reports_are_added_up_and_passed_on_once(relay, peers):
+    assert relay.watch(None, report("entry-a")).entry_hosts == 0
+    relay.watch(None, report("entry-b"))
+    asyncio.run(pass_on(relay))
+    (sent,) = peers.requests
+    assert [block.requests for block in sent.blocks] == [4]
+    assert len(sent.broken) == 2
+    assert sent.relayed_watchers == 2
+    reply = relay.watch(None, report("entry-a"))
+    assert (reply.serving, reply.entry_hosts, reply.map_index) == (True, 80, 9)
+
+
+def test_without_a_leader_the_number_of_hosts_is_unknown(relay, peers):
+    asyncio.run(pass_on(relay))
+    peers.error = errors.WireError("cut")
+    asyncio.run(pass_on(relay))
+    assert relay.watch(None, report("entry-a")).entry_hosts == 0
--- /dev/null
+++ b/tests/entries/test_fleet_map.py
@@ -0,0 +1,132 @@
+"""What an entry host makes of the state that it is fed."""
+
+from __future__ import annotations
+
+import random
+import types
+
+import pytest
+
+from goldcrestproxy import control
+from goldcrestproxy.entries import fleet_map
+from goldcrestproxy.entries import map_link
+from goldcrestproxy import registry
+from goldcrestproxy import wire
+
+SERVICE = registry.Item(
+    key=registry.ItemKey(kind=registry.ItemKind.SERVICE, name="desk"),
+    version=1,
+    value=registry.Service(
+        health_path="/",
+        connections_max=10,
+        cold_ms=3000,
+        cold_requests_per_s=5.0,
+        keyed=True,
+    ),
+    source="{}",
+)
+
+
+class FakeLink:
+    """A state that the test changes."""
+
+    current = True
+    age_ms = 0
+    entry_hosts = 1
+    observations = None
+
+    def __init__(self):
+        self.state = control.ControlState()
+        self._listeners = []
+
+    def listen(self, callback):
+        self._listeners.append(callback)
+
+    def apply(self, command):
+        self.state.apply(self.state.applied_index + 1, command)
+        for callback in self._listeners:
+            callback()
+
+
+@pytest.fixture
+def clock():
+    return types.SimpleNamespace(now_s=10.0)
+
+
+@pytest.fixture
+def link():
+    made = FakeLink()
+    made.apply(registry.ChangeItems(changed=(SERVICE,)))
+    return made
+
+
+@pytest.fixture
+def fleet(link, clock):
+    made = fleet_map.FleetMap(link, lambda: clock.now_s, random.Random(1))
+    for name in ("a", "b"):
+        link.apply(
+            registry.RegisterTarget(
+                target=name,
+                incarnation=1,
+                service="desk",
+                zone="zone-a",
+                address=f"10.0.0.{ord(name)}:80",
+                slots=4,
+                leaving=False,
+                cold_ms=0,
+            )
+        )
+    link.apply(
+        registry.LayOutKeys(
+            service="desk", block_keys=32768, targets=("a", "b"), owners=(0, 1)
+        )
+    )
+    return made
+
+
+def test_a_denied_block_waits_for_its_new_owner(fleet, link, clock):
+    assert fleet.owner("desk", 5).name == "a"
+    fleet.note_denied("desk", 5)
+    assert fleet.owner("desk", 6) is None
+    assert fleet.owner("desk", 40000).name == "b"
+    link.apply(
+        registry.FreeBlocks(
+            service="desk",
+            target="a",
+            incarnation=1,
+            freed=(registry.FreedBlock(first_key=0),),
+        )
+    )
+    link.apply(
+        registry.GiveBlocks(
+            service="desk", target="b", incarnation=1, first_keys=(0,)
+        )
+    )
+    assert fleet.owner("desk", 5).name == "b"
+
+
+def test_a_denied_block_that_stays_is_tried_again(fleet, clock):
+    fleet.note_denied("desk", 5)
+    clock.now_s += fleet_map.DENIED_S + 0.01
+    assert fleet.owner("desk", 5).name == "a"
+
+
+def test_entry_hosts_spread_over_the_control_hosts():
+    seeds = tuple(wire.PeerAddress(f"10.0.0.{n}", 7000) for n in range(5))
+    first = [
+        map_link.MapLink(
+            map_link.MapLinkTerms(
+                host=f"entry-{n}",
+                zone="zone-a",
+                session="s",
+                seeds=seeds,
+                watch_interval_ms=300,
+                watch_timeout_ms=600,
+            ),
+            peers=None,
+        )._address
+        for n in range(80)
+    ]
+    counts = [first.count(seed) for seed in seeds]
+    assert min(counts) >= 6
+    assert max(counts) <= 28
--- a/tests/routing/test_fleet_decisions.py
+++ b/tests/routing/test_fleet_decisions.py
@@ -359,3 +359,11 @@
     assert max(counted.values()) < demand.CUT_REQUESTS_MIN
     weights = measured.weights(sizes, 1.0, presumed_requests=198 * 40)
     assert max(weights.values()) < 0.3 / 198
+
+
+def test_one_services_requests_buy_no_repetitions_of_another():
+    budgets = resend.ResendBudgets(ratio=0.2, slack=4.0, window_s=10.0)
+    for _ in range(1000):
+        budgets.of("busy").requested()
+    taken = sum(budgets.of("failing").take(1.0, 1) for _ in range(1000))
+    assert taken <= 4
