--- a/src/goldcrestproxy/entries/map_link.py
+++ b/src/goldcrestproxy/entries/map_link.py
@@ -42,7 +42,7 @@
 
 
 class MapLink(state_copy.StateCopy):
-    """Keeps one channel to the leader, which feeds the state on it.
+    """Keeps one channel to a control host, which feeds the state on it.
 
     The addresses to try are the seeds of the settings and the members that
     the state names, so that control hosts may be replaced.
@@ -61,7 +61,7 @@
         # Whether the state here was once as new as the leader's.
         self.current = False
         self._wanted_index: int | None = None
-        # When a leader last answered, None before the first time.
+        # When a control host last answered, None before the first time.
         self.heard_s: float | None = None
         self.observations = observations.Observations()
         self._terms = terms
@@ -74,13 +74,13 @@
 
     @property
     def age_ms(self) -> int:
-        """Milliseconds since a leader last answered, -1 before that."""
+        """Milliseconds since a control host answered, -1 before that."""
         if self.heard_s is None:
             return -1
         return int((self._clock() - self.heard_s) * 1000)
 
     async def run(self) -> None:
-        """Follow the leader until cancelled."""
+        """Follow the replicated state until cancelled."""
         while True:
             if await self._watch():
                 self._return_to_preferred()
@@ -118,7 +118,7 @@
             return False
         if not reply.serving:
             self._note_lost(f"{self._address} does not serve")
-            self._address = self._leader_of(reply)
+            self._address = self._hinted(reply)
             return False
         self._note_found()
         self.heard_s = self._clock()
@@ -129,7 +129,7 @@
         return True
 
     def _note_index(self, map_index: int) -> None:
-        """Count as current once the leader's first answer is reached.
+        """Count as current once the first answer's state is reached.
 
         Before that, routes may be missing here that have long been in force.
         """
@@ -144,7 +144,7 @@
     def _note_found(self) -> None:
         if not self._connected:
             LOG.info(
-                "entries: follows the leader at %s, state %d",
+                "entries: fed by %s, state %d",
                 self._address.address,
                 self.state.applied_index,
             )
@@ -153,13 +153,13 @@
     def _note_lost(self, reason: str) -> None:
         if self._connected:
             LOG.warning(
-                "entries: lost the leader: %s, state %d",
+                "entries: lost its control host: %s, state %d",
                 reason,
                 self.state.applied_index,
             )
         self._connected = False
 
-    def _leader_of(self, reply: wire.ttypes.WatchReply) -> wire.PeerAddress:
+    def _hinted(self, reply: wire.ttypes.WatchReply) -> wire.PeerAddress:
         hinted = wire.PeerAddress(reply.leader_address, reply.leader_peer_port)
         if hinted.address and hinted != self._address:
             return hinted
--- a/src/goldcrestproxy/entries/state_copy.py
+++ b/src/goldcrestproxy/entries/state_copy.py
@@ -1,4 +1,4 @@
-"""A daemon's copy of the replicated state, fed by the leader."""
+"""A daemon's copy of the replicated state, fed by a control host."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class StateCopy:
-    """Applies what the leader sends, and never goes back."""
+    """Applies what control hosts send, and never goes back."""
 
     def __init__(self) -> None:
         """Start with an empty state."""
@@ -30,7 +30,7 @@
         await self._changed.wait(max(0.0, timeout_s))
 
     def add_handlers(self, handlers: wire.Handlers) -> None:
-        """Serve the leader's feed."""
+        """Serve the feed."""
         handlers.calls[wire.Method.FEED] = self._take_feed
 
     async def _take_feed(
