--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 READY = $(VENV)/ready
 
-.PHONY: demo test check format
+.PHONY: demo test soak check format
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -17,6 +17,9 @@
 test: $(READY)
 	$(VENV)/bin/python -m pytest
 
+soak: $(READY)
+	$(VENV)/bin/python tests/soak --minutes 1
+
 check: $(READY)
 	$(VENV)/bin/ruff format --check src tests bench examples
 	$(VENV)/bin/ruff check src tests bench examples
