--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -62,6 +62,9 @@
         except OSError:
             _reset(writer)
             return
+        except asyncio.CancelledError:
+            # The run is over; asyncio would print this as an error.
+            return
         key = object()
         self._connections[key] = (writer, back_writer)
         try:
@@ -70,7 +73,6 @@
                 self._pump(key, back_reader, writer, inward=False),
             )
         except asyncio.CancelledError:
-            # The run is over; asyncio would print this as an error.
             pass
         finally:
             self._connections.pop(key, None)
