Pack what daemons are fed once for all that miss the same

Ruled out: sharing whole messages, whose previous index differs by daemon.

Change: one source packs both and keeps the newest of each. Behaviour is the same.

--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -28,31 +28,82 @@
 )
 
 
-@attrs.define
-class Snapshots:
-    """The newest snapshot for daemons, which many of them ask for at once.
+@attrs.frozen(kw_only=True)
+class _Packed:
+    """What brings a daemon from one index to another."""
 
-    After a loss of power every daemon starts with nothing: what the state
-    is takes long to encode, so that all get the same bytes and the entries
-    after them.
+    after_index: int
+    last_index: int
+    entries: bytes = b""
+    snapshot: bytes = b""
+
+
+class FeedSource:
+    """Packs what daemons are fed, once for all that miss the same.
+
+    After a loss of power every daemon starts with nothing, and each commit
+    wakes all of them: encoding and compressing for each would cost a control
+    host more than sending.
     """
 
-    _index: int = 0
-    _data: bytes = b""
+    def __init__(self, replica: replicas.Replica) -> None:
+        """Pack from a replica's log and state."""
+        self._replica = replica
+        self._snapshot: _Packed | None = None
+        self._entries: _Packed | None = None
+
+    def next_request(self, sent_index: int) -> wire.ttypes.FeedRequest:
+        """Return what comes after an index: a snapshot or entries."""
+        replica = self._replica
+        missing = replica.state.applied_index - sent_index
+        if sent_index < replica.log.base_index or missing > FEED_ENTRIES_MAX:
+            packed = self._take_snapshot()
+        else:
+            packed = self._take_entries(sent_index, missing)
+        return wire.ttypes.FeedRequest(
+            previous_index=packed.after_index,
+            last_index=packed.last_index,
+            entries=packed.entries,
+            snapshot=packed.snapshot,
+        )
 
-    def take(self, replica: replicas.Replica) -> tuple[int, bytes]:
-        """Return a snapshot and the index that it reaches."""
+    def _take_snapshot(self) -> _Packed:
+        """Return a snapshot that the log's entries bring up to date."""
+        replica = self._replica
         applied = replica.state.applied_index
-        missing = applied - self._index
+        known = self._snapshot
+        if (
+            known is None
+            or known.last_index < replica.log.base_index
+            or applied - known.last_index > FEED_ENTRIES_MAX
+        ):
+            known = _Packed(
+                after_index=0,
+                last_index=applied,
+                snapshot=zlib.compress(
+                    replica.state.encode(with_claims=False)
+                ),
+            )
+            self._snapshot = known
+        return known
+
+    def _take_entries(self, sent_index: int, count: int) -> _Packed:
+        known = self._entries
+        last_index = sent_index + count
         if (
-            not self._data
-            or self._index < replica.log.base_index
-            or missing > FEED_ENTRIES_MAX
+            known is None
+            or known.after_index != sent_index
+            or known.last_index != last_index
         ):
-            state = replica.state.encode(with_claims=False)
-            self._data = zlib.compress(state)
-            self._index = applied
-        return self._index, self._data
+            entries = self._replica.log.after(sent_index, count)
+            wanted = [_to_wire(entry) for entry in entries if _wanted(entry)]
+            known = _Packed(
+                after_index=sent_index,
+                last_index=sent_index + len(entries),
+                entries=_pack(wanted) if wanted else b"",
+            )
+            self._entries = known
+        return known
 
 
 class Feeder:
@@ -69,7 +120,7 @@
         """Feed from a replica's state for as long as ``may_feed`` says."""
         self._replica = replica
         self._may_feed = may_feed
-        self._snapshots = Snapshots()
+        self._source = FeedSource(replica)
         self._feeds: dict[wire.Channel, asyncio.Task[None]] = {}
         self._entry_channels: set[wire.Channel] = set()
 
@@ -111,7 +162,7 @@
                 if sent_index >= replica.state.map_index:
                     await replica.wait_change()
                     continue
-                request = _next_request(replica, sent_index, self._snapshots)
+                request = self._source.next_request(sent_index)
                 sent_index = request.last_index
                 if not request.entries and not request.snapshot:
                     continue
@@ -125,25 +176,6 @@
             channel.close()
 
 
-def _next_request(
-    replica: replicas.Replica, sent_index: int, snapshots: Snapshots
-) -> wire.ttypes.FeedRequest:
-    missing = replica.state.applied_index - sent_index
-    if sent_index < replica.log.base_index or missing > FEED_ENTRIES_MAX:
-        index, data = snapshots.take(replica)
-        return wire.ttypes.FeedRequest(
-            previous_index=0, last_index=index, entries=b"", snapshot=data
-        )
-    entries = replica.log.after(sent_index, missing)
-    wanted = [_to_wire(entry) for entry in entries if _wanted(entry)]
-    return wire.ttypes.FeedRequest(
-        previous_index=sent_index,
-        last_index=sent_index + len(entries),
-        entries=_pack(wanted) if wanted else b"",
-        snapshot=b"",
-    )
-
-
 def _pack(entries: list[wire.ttypes.Entry]) -> bytes:
     """Compress entries: entry hosts may have links of a few Mbit/s."""
     return zlib.compress(wire.encode(wire.ttypes.Entries(entries=entries)))
