Look for blocks to cut among those with requests enough

The planner went over all blocks and compared with the hot part that pieces_of compares with again. It now starts from the counted requests, which few blocks have enough of, and leaves the comparison to pieces_of. The same blocks are cut; the planner's and the registrar's tests pass unchanged.

--- a/src/goldcrestproxy/control/key_planner.py
+++ b/src/goldcrestproxy/control/key_planner.py
@@ -210,18 +210,16 @@
         self, service: str, space: registry.Keyspace, plan: Plan
     ) -> list[registry.BlockCut]:
         usual_share = 1 / max(1, len(plan.shares))
-        hot_weight = usual_share * key_placement.HOT_PART
         measured = self.demand_of(service)
         counted = measured.requests(self._replica.clock())
         cuts: list[registry.BlockCut] = []
-        for first, weight in plan.weights.items():
-            if weight <= hot_weight or counted.get(first, 0.0) < (
-                demand.CUT_REQUESTS_MIN
-            ):
+        for first, requests in counted.items():
+            if requests < demand.CUT_REQUESTS_MIN:
                 continue
             at = space.find(first)
             if at is None or not space.owners[at]:
                 continue
+            weight = plan.weights.get(first, 0.0)
             pieces = key_placement.pieces_of(
                 weight, space.size(at), usual_share
             )
