--- a/src/goldcrestproxy/entries/map_link.py
+++ b/src/goldcrestproxy/entries/map_link.py
@@ -56,8 +56,8 @@
     ) -> None:
         """Start with an empty state."""
         super().__init__()
-        self.entry_hosts = ENTRY_HOSTS_PRESUMED
-        self._counted = False
+        # As a leader counted them, 0 before that.
+        self._entry_hosts = 0
         # Whether the state here was once as new as the leader's.
         self.current = False
         self._wanted_index: int | None = None
@@ -72,6 +72,11 @@
         self._returned_s = clock()
         self._connected = False
 
+    @property
+    def entry_hosts(self) -> int:
+        """Entry hosts that share common limits."""
+        return self._entry_hosts or ENTRY_HOSTS_PRESUMED
+
     @property
     def age_ms(self) -> int:
         """Milliseconds since a control host answered, -1 before that."""
@@ -90,11 +95,8 @@
 
     @property
     def _interval_s(self) -> float:
-        hosts = self.entry_hosts if self._counted else 1
-        interval_ms = max(
-            self._terms.watch_interval_ms, hosts * WATCH_INTERVAL_MS_A_HOST
-        )
-        return interval_ms / 1000
+        counted_ms = self._entry_hosts * WATCH_INTERVAL_MS_A_HOST
+        return max(self._terms.watch_interval_ms, counted_ms) / 1000
 
     async def _watch(self) -> bool:
         request = wire.ttypes.WatchRequest(
@@ -123,9 +125,7 @@
         self._note_found()
         self.heard_s = self._clock()
         self._note_index(reply.map_index)
-        if reply.entry_hosts:
-            self._counted = True
-            self.entry_hosts = reply.entry_hosts
+        self._entry_hosts = reply.entry_hosts or self._entry_hosts
         return True
 
     def _note_index(self, map_index: int) -> None:
