Set up channels and wait for a stop in one place

Both compositions built hello, times, peers and server alike, and both runs registered signals, waited for a stop or a failed task and ended the tasks alike. daemon/peering.py and daemon/lifecycle.py have these once; the way a daemon leaves stays its own. Tests of daemons, whole paths and planned stops pass unchanged.

--- a/src/goldcrestproxy/daemon/composition.py
+++ b/src/goldcrestproxy/daemon/composition.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 import typing as ty
-import uuid
 
 import attrs
 from tornado import httpserver
@@ -14,6 +13,7 @@
 from goldcrestproxy import callers
 from goldcrestproxy import control
 from goldcrestproxy.control import clock as clocks
+from goldcrestproxy.daemon import peering as peerings
 from goldcrestproxy import entries
 from goldcrestproxy import operators
 from goldcrestproxy import platform
@@ -22,7 +22,6 @@
 from goldcrestproxy import targets
 from goldcrestproxy import telemetry
 from goldcrestproxy import wire
-from goldcrestproxy.wire import frames
 
 SERVICE_BODY_BYTES_MAX: ty.Final = 64 * 1024 * 1024
 CALLER_IDLE_TIMEOUT_S: ty.Final = 3600
@@ -51,28 +50,16 @@
 
     :raises StorageError: when the data folder cannot be used
     """
-    session = uuid.uuid4().hex
     metrics = telemetry.make_metrics(
         host_settings.telemetry, host_settings.host
     )
     tracing = telemetry.make_tracing(
         host_settings.telemetry, host_settings.host
     )
-    handlers = wire.Handlers()
-    hello = wire.ttypes.Hello(
-        version=frames.PROTOCOL_VERSION,
-        host=host_settings.host,
-        session=session,
-        zone=host_settings.zone,
-    )
-    times = wire.ChannelTimes(
-        heartbeat_ms=host_settings.timeouts.channel_heartbeat_ms,
-        silence_ms=host_settings.timeouts.channel_silence_ms,
-        connect_ms=host_settings.timeouts.channel_connect_ms,
-    )
-    peers = wire.Peers(hello, handlers, times)
+    peering = peerings.make_peering(host_settings)
+    peers, handlers = peering.peers, peering.handlers
     control_service = _control_service(host_settings, peers, handlers)
-    link = entries.ControlLink(host_settings, session, peers)
+    link = entries.ControlLink(host_settings, peering.session, peers)
     link.add_handlers(handlers)
     catalogue = entries.CurrentCatalogue(link)
     coordinator = entries.Coordinator(host_settings, link, catalogue, tracing)
@@ -96,7 +83,7 @@
         claimer=claimer,
         gate=gate,
         peers=peers,
-        peer_server=wire.PeerServer(hello, handlers, times),
+        peer_server=peering.server,
         caller_server=_caller_server(host_settings, router, gate, metrics),
         service_server=_service_server(
             host_settings,
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 import typing as ty
-import uuid
 
 import attrs
 from tornado import httpserver
@@ -14,6 +13,7 @@
 from goldcrestproxy import callers
 from goldcrestproxy import control
 from goldcrestproxy.control import clock as clocks
+from goldcrestproxy.daemon import peering as peerings
 from goldcrestproxy import entries
 from goldcrestproxy import platform
 from goldcrestproxy.routing import resend
@@ -22,7 +22,6 @@
 from goldcrestproxy import targets
 from goldcrestproxy import telemetry
 from goldcrestproxy import wire
-from goldcrestproxy.wire import frames
 
 # Callers may be idle for as long as the operators' limits say; the system
 # itself closes a connection only after this.
@@ -78,24 +77,11 @@
 
     :raises StorageError: when the data folder cannot be used
     """
-    session = uuid.uuid4().hex
     metrics = telemetry.make_metrics(
         host_settings.telemetry, host_settings.host
     )
-    handlers = wire.Handlers()
-    hello = wire.ttypes.Hello(
-        version=frames.PROTOCOL_VERSION,
-        host=host_settings.host,
-        session=session,
-        zone=host_settings.zone,
-    )
-    times = wire.ChannelTimes(
-        heartbeat_ms=host_settings.timeouts.channel_heartbeat_ms,
-        silence_ms=host_settings.timeouts.channel_silence_ms,
-        connect_ms=host_settings.timeouts.channel_connect_ms,
-    )
-    peers = wire.Peers(hello, handlers, times)
-    peer_server = wire.PeerServer(hello, handlers, times)
+    peering = peerings.make_peering(host_settings)
+    peers, handlers = peering.peers, peering.handlers
     listeners = [
         Listener(
             name="peer_port",
@@ -103,7 +89,7 @@
                 host_settings.peer_listen_address or host_settings.address,
                 host_settings.peer_port,
             ),
-            server=peer_server,
+            server=peering.server,
         )
     ]
     if host_settings.telemetry.metrics_port:
@@ -120,7 +106,7 @@
     entry = None
     if "entry" in host_settings.roles:
         entry, entry_listeners = _entry(
-            host_settings, fleet_settings, peers, session, metrics
+            host_settings, fleet_settings, peering, metrics
         )
         entry.link.add_handlers(handlers)
         listeners.extend(entry_listeners)
@@ -129,7 +115,7 @@
         fleet_settings=fleet_settings,
         metrics=metrics,
         peers=peers,
-        peer_server=peer_server,
+        peer_server=peering.server,
         listeners=tuple(listeners),
         entry=entry,
         control_service=control_service,
@@ -218,8 +204,7 @@
 def _entry(
     host_settings: settings.HostSettings,
     fleet_settings: settings.FleetSettings,
-    peers: wire.Peers,
-    session: str,
+    peering: peerings.Peering,
     metrics: telemetry.Metrics,
 ) -> tuple[EntryParts, tuple[Listener, ...]]:
     rng = random.Random()
@@ -228,12 +213,12 @@
         entries.MapLinkTerms(
             host=host_settings.host,
             zone=host_settings.zone,
-            session=session,
+            session=peering.session,
             seeds=_seeds(host_settings, fleet_settings),
             watch_interval_ms=WATCH_INTERVAL_MS,
             watch_timeout_ms=WATCH_TIMEOUT_MS,
         ),
-        peers,
+        peering.peers,
     )
     gate = callers.Gate()
     dispatcher = entries.Dispatcher(
--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -10,6 +10,7 @@
 import typing as ty
 
 from goldcrestproxy.daemon import fleet_composition
+from goldcrestproxy.daemon import lifecycle
 from goldcrestproxy.daemon import listening
 from goldcrestproxy import errors
 from goldcrestproxy import settings
@@ -30,11 +31,9 @@
 
     :raises SettingsError: when a port cannot be listened on
     """
-    stop = asyncio.Event()
+    stop = lifecycle.stop_signal()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     _listen(daemon)
     work = [asyncio.create_task(_watch_settings(settings_file, reload))]
@@ -48,16 +47,7 @@
         daemon.host_settings.zone,
         ",".join(daemon.host_settings.roles),
     )
-    stopping = asyncio.create_task(stop.wait())
-    done, _ = await asyncio.wait(
-        {stopping, *work}, return_when=asyncio.FIRST_COMPLETED
-    )
-    for task in done - {stopping}:
-        task.result()
-    await _stop(daemon)
-    for task in work:
-        task.cancel()
-    await asyncio.wait(work)
+    await lifecycle.work_until(stop, work, lambda: _stop(daemon))
     _close(daemon)
     LOG.info("daemon: stopped")
 
--- /dev/null
+++ b/src/goldcrestproxy/daemon/peering.py
@@ -0,0 +1,44 @@
+"""The channels between daemons, as every composition sets them up."""
+
+from __future__ import annotations
+
+import uuid
+
+import attrs
+
+from goldcrestproxy import settings
+from goldcrestproxy import wire
+from goldcrestproxy.wire import frames
+
+
+@attrs.frozen(kw_only=True)
+class Peering:
+    """What a daemon serves to its peers, and how it reaches them."""
+
+    session: str
+    handlers: wire.Handlers
+    peers: wire.Peers
+    server: wire.PeerServer
+
+
+def make_peering(host_settings: settings.HostSettings) -> Peering:
+    """Construct channels for a new session of this host."""
+    session = uuid.uuid4().hex
+    handlers = wire.Handlers()
+    hello = wire.ttypes.Hello(
+        version=frames.PROTOCOL_VERSION,
+        host=host_settings.host,
+        session=session,
+        zone=host_settings.zone,
+    )
+    times = wire.ChannelTimes(
+        heartbeat_ms=host_settings.timeouts.channel_heartbeat_ms,
+        silence_ms=host_settings.timeouts.channel_silence_ms,
+        connect_ms=host_settings.timeouts.channel_connect_ms,
+    )
+    return Peering(
+        session=session,
+        handlers=handlers,
+        peers=wire.Peers(hello, handlers, times),
+        server=wire.PeerServer(hello, handlers, times),
+    )
--- a/src/goldcrestproxy/daemon/running.py
+++ b/src/goldcrestproxy/daemon/running.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 import logging
-import signal
 import typing as ty
 
 from goldcrestproxy.daemon import composition
+from goldcrestproxy.daemon import lifecycle
 from goldcrestproxy.daemon import listening
 
 LOG = logging.getLogger(__name__)
@@ -22,25 +22,13 @@
 
     :raises SettingsError: when a port cannot be listened on
     """
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    stop = lifecycle.stop_signal()
     _listen(daemon)
     work = [asyncio.create_task(daemon.link.run())]
     if daemon.control_service is not None:
         work.append(asyncio.create_task(daemon.control_service.run()))
     LOG.info("daemon: started")
-    stopping = asyncio.create_task(stop.wait())
-    done, _ = await asyncio.wait(
-        {stopping, *work}, return_when=asyncio.FIRST_COMPLETED
-    )
-    for task in done - {stopping}:
-        task.result()
-    await _stop(daemon)
-    for task in work:
-        task.cancel()
-    await asyncio.wait(work)
+    await lifecycle.work_until(stop, work, lambda: _stop(daemon))
     _close(daemon)
     LOG.info("daemon: stopped")
 
