--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import typing as ty
@@ -150,14 +151,8 @@
             raise formation.refused_no_leader(self.replica)
         if not isinstance(call, registry.Heartbeat):
             self._check_complete()
-        try:
+        with _lost_leadership_refused():
             return await leadership.registrar.serve(call)
-        except errors.NotLeaderError as error:
-            raise results.refusal(results.NO_LEADER, str(error)) from error
-        except errors.ProposalLostError as error:
-            raise results.refusal(
-                results.OUTCOME_UNKNOWN, str(error)
-            ) from error
 
     def _check_complete(self) -> None:
         """Refuse changes while the group is too small to keep them.
@@ -223,14 +218,8 @@
     async def _propose(
         self, _: wire.Channel, request: wire.ttypes.ProposeRequest
     ) -> wire.ttypes.ProposeReply:
-        try:
+        with _lost_leadership_refused():
             outcome = await self.replica.propose(codec.decode(request.command))
-        except errors.NotLeaderError as error:
-            raise results.refusal(results.NO_LEADER, str(error)) from error
-        except errors.ProposalLostError as error:
-            raise results.refusal(
-                results.OUTCOME_UNKNOWN, str(error)
-            ) from error
         return wire.ttypes.ProposeReply(
             index=self.replica.state.applied_index,
             outcome=codec.encode_outcome(outcome),
@@ -274,12 +263,10 @@
                 )
 
     def _leading(self) -> leaderships.Leadership:
-        try:
+        with _lost_leadership_refused():
             if self._leadership is None:
                 raise errors.NotLeaderError(self.replica.leader_host)
             self._leadership.check_current()
-        except errors.NotLeaderError as error:
-            raise results.refusal(results.NO_LEADER, str(error)) from error
         return self._leadership
 
     def _control_host(self, name: str) -> settings.ControlHost:
@@ -291,3 +278,17 @@
             results.NOT_FOUND,
             f"{name!r} is not in the leader's control_hosts ({known})",
         )
+
+
+@contextlib.contextmanager
+def _lost_leadership_refused() -> ty.Iterator[None]:
+    """Turn a lost leadership into the refusal that peers get.
+
+    :raises RefusedError: in its place
+    """
+    try:
+        yield
+    except errors.NotLeaderError as error:
+        raise results.refusal(results.NO_LEADER, str(error)) from error
+    except errors.ProposalLostError as error:
+        raise results.refusal(results.OUTCOME_UNKNOWN, str(error)) from error
