--- a/src/goldcrestproxy/platform/configuration.py
+++ b/src/goldcrestproxy/platform/configuration.py
@@ -41,17 +41,13 @@
 
 
 def _set_items(body: decoding.Body) -> ty.Iterator[registry.Item]:
-    for name, kind in _KINDS.items():
-        for entry in decoding.as_list(body.get(name, []), name):
-            fields = decoding.as_object(entry, name)
-            yield registry.Item(
-                key=registry.ItemKey(
-                    kind=kind, name=decoding.text(fields, "name")
-                ),
-                version=decoding.whole(fields, "version"),
-                value=_value(kind, fields),
-                source=json.dumps(entry, separators=(",", ":")),
-            )
+    for key, fields in _named(body):
+        yield registry.Item(
+            key=key,
+            version=decoding.whole(fields, "version"),
+            value=_value(key.kind, fields),
+            source=json.dumps(fields, separators=(",", ":")),
+        )
     if _LIMITS in body:
         fields = decoding.as_object(body[_LIMITS], _LIMITS)
         yield registry.Item(
@@ -63,15 +59,21 @@
 
 
 def _removed_items(body: decoding.Body) -> ty.Iterator[registry.Item]:
+    for key, fields in _named(body):
+        yield registry.Item(key=key, version=decoding.whole(fields, "version"))
+
+
+def _named(
+    body: decoding.Body,
+) -> ty.Iterator[tuple[registry.ItemKey, decoding.Body]]:
+    """Return the key and the fields of each item that has a name."""
     for name, kind in _KINDS.items():
         for entry in decoding.as_list(body.get(name, []), name):
             fields = decoding.as_object(entry, name)
-            yield registry.Item(
-                key=registry.ItemKey(
-                    kind=kind, name=decoding.text(fields, "name")
-                ),
-                version=decoding.whole(fields, "version"),
+            key = registry.ItemKey(
+                kind=kind, name=decoding.text(fields, "name")
             )
+            yield key, fields
 
 
 def _value(kind: registry.ItemKind, body: decoding.Body) -> registry.Value:
