--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -23,14 +23,13 @@
 
 import attrs
 
-from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import granted_ranges
 from goldcrestproxy.control import key_planner
 from goldcrestproxy.control import outcomes
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import replication as replications
-from goldcrestproxy.control import suspects
+from goldcrestproxy.control import target_losses
 from goldcrestproxy.control import target_views
 from goldcrestproxy import errors
 from goldcrestproxy import registry
@@ -50,8 +49,6 @@
 # this multiple of its share: each move costs a key about 0.3 s.
 BALANCE_REST_S: ty.Final = 2.5
 OVERLOADED_PART: ty.Final = 1.5
-# Heartbeats that a target may miss before it counts as lost.
-MISSED_HEARTBEATS_MAX: ty.Final = 3
 # An older start time is believed after the newer one was silent so long.
 OLDER_INCARNATION_AFTER_S: ty.Final = 10.0
 
@@ -87,7 +84,9 @@
         self._rng = rng or random.Random()
         self._views = target_views.TargetViews()
         self._planner = key_planner.KeyPlanner(replica, self._views)
-        self._suspects = suspects.Suspects()
+        self._losses = target_losses.TargetLosses(
+            replica, self._views, terms.heartbeat_ms / 1000
+        )
         self._gone: dict[str, int] = {}
         self._started = False
 
@@ -111,11 +110,7 @@
     def observe(self, report: wire.ttypes.WatchRequest) -> None:
         """Take what an entry host measured."""
         self._planner.observe(report)
-        now_s = self._replica.clock()
-        for run in report.broken or ():
-            self._suspects.broke_off(
-                run.target, run.incarnation, run.fingerprint, now_s
-            )
+        self._losses.observe(report)
 
     async def serve(self, call: registry.Call) -> registry.Answer:
         """Answer a call.
@@ -299,49 +294,11 @@
             "leaving" if beat.leaving else "in service",
             beat.cold_ms,
         )
-        crashes = self._crashes_before(wanted)
+        crashes = self._losses.crashes_before(wanted)
         await self._replica.propose(wanted)
         for crash in crashes:
             await self._replica.propose(crash)
 
-    def _crashes_before(
-        self, wanted: registry.RegisterTarget
-    ) -> list[commands.Command]:
-        """Report the processes that a new one shows to be over."""
-        found: list[commands.Command] = []
-        for known in self._registry.targets.values():
-            same = wanted.target == known.target
-            if not same and wanted.address != known.address:
-                continue
-            if known.incarnation < wanted.incarnation and not known.leaving:
-                found.extend(self._crash(known))
-        return found
-
-    def _crash(
-        self, known: registry.RegisteredTarget
-    ) -> list[commands.Command]:
-        """Report which requests a target was running when it crashed."""
-        fingerprints = self._suspects.crashed(
-            known.target, known.incarnation, self._replica.clock()
-        )
-        if not fingerprints:
-            return []
-        LOG.info(
-            "registry: target %s, incarnation %d, crashed; it ran %s",
-            known.target,
-            known.incarnation,
-            ",".join(fingerprints),
-        )
-        return [
-            commands.ReportCrash(
-                target=known.target,
-                incarnation=str(known.incarnation),
-                fingerprints=fingerprints,
-                time_s=clocks.wall_s(),
-                crashes_needed=suspects.CRASHES_NEEDED,
-            )
-        ]
-
     async def _take_released(
         self, beat: registry.Heartbeat, view: target_views.TargetView
     ) -> None:
@@ -479,8 +436,7 @@
         self._check_current()
         now_s = self._replica.clock()
         due: list[commands.Command] = []
-        due.extend(self._lost_targets(now_s))
-        due.extend(self._ended_holds(now_s))
+        due.extend(self._losses.due(now_s))
         due.extend(self._planner.first_layouts(now_s))
         due.extend(self._planner.splits())
         if due:
@@ -488,60 +444,6 @@
                 *(self._replica.propose(command) for command in due)
             )
 
-    def _lost_targets(self, now_s: float) -> list[commands.Command]:
-        patience_s = self._terms.heartbeat_ms / 1000 * MISSED_HEARTBEATS_MAX
-        found: list[commands.Command] = []
-        for target in self._registry.targets.values():
-            view = self._views.get(target.target)
-            if target.lost or view is None:
-                continue
-            silent_s = now_s - view.heard_s
-            if silent_s > patience_s:
-                LOG.warning(
-                    "registry: lost target %s, silent for %d ms",
-                    target.target,
-                    silent_s * 1000,
-                )
-                found.append(
-                    registry.LoseTarget(
-                        target=target.target,
-                        incarnation=target.incarnation,
-                        gone=False,
-                    )
-                )
-                found.extend(self._crash(target))
-        self._suspects.forget_old(now_s)
-        return found
-
-    def _ended_holds(self, now_s: float) -> list[commands.Command]:
-        """Free what lost targets owned, once their hold has run out."""
-        found: list[commands.Command] = []
-        for service, space in self._registry.keyspaces.items():
-            for target in self._registry.targets_of(service):
-                view = self._views.get(target.target)
-                if not target.lost or view is None:
-                    continue
-                owned = space.owned_by(target.target)
-                if not owned or now_s < view.hold_over_s:
-                    continue
-                LOG.info(
-                    "registry: hold of %s is over, frees %d blocks",
-                    target.target,
-                    len(owned),
-                )
-                found.append(
-                    registry.FreeBlocks(
-                        service=service,
-                        target=target.target,
-                        incarnation=target.incarnation,
-                        freed=tuple(
-                            registry.FreedBlock(first_key=first)
-                            for first in owned
-                        ),
-                    )
-                )
-        return found
-
 
 def _differs(
     known: registry.RegisteredTarget, wanted: registry.RegisterTarget
