Test that a request at a silent target is answered before a stop ends

Fails on the current code: the target drops the request and never answers, the entry host gets SIGTERM and closes the caller's connection at the end of the stop ('RemoteDisconnected: Remote end closed connection without response').

--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -214,6 +214,30 @@
     assert status != 200, body
 
 
+def test_a_request_at_a_silent_target_is_answered_before_a_stop_ends(fleet):
+    """The target drops the request, as it may when its queue is full."""
+    request_id = "silent0000000001"
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(
+            fleet.request,
+            0,
+            "POST",
+            "/photo/1",
+            body=bytes(60_000),
+            **{
+                "Drop-Silently": "1",
+                "Deadline-Ms": "12000",
+                "Attempt-Id": request_id,
+            },
+        )
+        fleet.wait_until(lambda: fleet.drops(request_id))
+        fleet.signal("entry-0", signal.SIGTERM)
+        status, _, headers = running.result()
+    assert status in (502, 504)
+    assert headers["Connection"] == "close"
+    assert fleet.wait_ended("entry-0") == 0
+
+
 def test_an_unsafe_request_runs_once(fleet):
     for key in range(0, 65536, 4096):
         request_id = f"once{key:04x}00"
