Answer the last requests in flight before a planned stop ends

Callers saw: uploads that an entry host had accepted ended with a closed connection, neither answered nor refused, 5.6 s after the host's SIGTERM.

Cause: the stop waited for requests in flight until 0.4 s before the process is killed and then let the event loop end, which cancelled their tasks and closed their connections. A target that drops a request without a word keeps it in flight for its whole deadline, which may be longer than a stop. The class of fault: a wait for others is bounded, and nothing says what happens to those who are left when the bound is reached.

Evidence: in the logs of both hosts 'stopped' comes 5.60 s after SIGTERM while 4 and 20 requests had been waited for, and the lost ones end as 'cancelled' after it, sent to one target, without a failure.

Now the dispatcher knows its requests in flight and ends them 0.5 s before the exit: with the failure that a target reported, with 'outcome unknown' if one was sent and not answered, and as not run only if none may have run. Requests that arrive during a stop have deadlines within it, so that a target is not asked for an answer that can no longer be delivered. Both steps are logged.

--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -54,6 +54,7 @@
 
     link: entries.StateWatcher
     gate: callers.Gate
+    dispatcher: entries.Dispatcher
 
 
 @attrs.frozen(kw_only=True)
@@ -257,7 +258,7 @@
     balancer_application = web.Application(
         platform.balancer_routes(gate, lambda: link.current)
     )
-    components = EntryComponents(link=link, gate=gate)
+    components = EntryComponents(link=link, gate=gate, dispatcher=dispatcher)
     return components, (
         Listener(
             setting="fleet.callers",
--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -22,6 +22,8 @@
 BALANCER_NOTICE_S: ty.Final = 2.5
 # Part of stop_s that is reserved for the exit of the process.
 EXIT_RESERVE_S: ty.Final = 0.4
+# Time before that for the answers to requests that are still in flight.
+LAST_ANSWERS_S: ty.Final = 0.5
 SETTINGS_POLL_INTERVAL_S: ty.Final = 1.0
 
 
@@ -90,20 +92,23 @@
 
 
 async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
-    """Stop without interrupting requests.
+    """Stop with an answer or a refusal for each request.
 
     Readiness checks fail first. Requests are served while the balancer
-    reacts, and each answer closes its connection.
+    reacts, and each answer closes its connection. Those still in flight
+    shortly before the end are answered without their targets.
     """
     if daemon.entry is None:
         LOG.info("daemon: stopping")
         return
     LOG.info("daemon: stopping; readiness checks fail from now on")
-    gate = daemon.entry.gate
+    gate, dispatcher = daemon.entry.gate, daemon.entry.dispatcher
     gate.announce_stop()
+    started_s = asyncio.get_running_loop().time()
     remaining_s = daemon.fleet_settings.stop_s - EXIT_RESERVE_S
-    notice_s = min(BALANCER_NOTICE_S, remaining_s / 2)
-    await asyncio.sleep(notice_s)
+    serving_s = remaining_s - min(LAST_ANSWERS_S, remaining_s / 4)
+    dispatcher.limit_deadlines(serving_s)
+    await asyncio.sleep(min(BALANCER_NOTICE_S, remaining_s / 2))
     for listener in _caller_listeners(daemon):
         listener.server.stop()
     # Further requests on open connections are refused as not run, because
@@ -111,9 +116,20 @@
     gate.close()
     LOG.info("daemon: waiting for %d requests in flight", gate.in_flight)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(remaining_s - notice_s):
+        async with asyncio.timeout_at(started_s + serving_s):
+            await gate.wait_empty()
+    if gate.in_flight:
+        LOG.warning(
+            "daemon: ending %d requests that their targets did not answer",
+            gate.in_flight,
+        )
+        dispatcher.end_all()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout_at(started_s + remaining_s):
             await gate.wait_empty()
             await _close_callers(daemon)
+    if gate.in_flight:
+        LOG.warning("daemon: exit cuts %d requests", gate.in_flight)
 
 
 def _caller_listeners(
--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -28,6 +28,8 @@
     # Time that each attempt waited for its connection.
     connects_ms: list[int] = attrs.field(factory=list)
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
+    # Whether an attempt was sent whose outcome is not known yet.
+    awaiting_answer: bool = False
     # The last answer of a target that reports a failure.
     answer: fleet_request.FleetAnswer | None = None
 
@@ -39,7 +41,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run any of the attempts."""
-        return any(
+        return self.awaiting_answer or any(
             not isinstance(failure, fleet_retries.NotRun)
             for failure in self.failures
         )
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import typing as ty
 
@@ -10,6 +11,7 @@
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import fleet_request
 from goldcrestproxy.entries import replay
+from goldcrestproxy.entries import running_requests
 from goldcrestproxy.entries import sending
 from goldcrestproxy import errors
 from goldcrestproxy import results
@@ -31,6 +33,8 @@
 LOST_OWNER_RETRY_AFTER_MS: ty.Final = 500
 # A host that has just started receives its routes within about this time.
 NO_ROUTES_RETRY_AFTER_MS: ty.Final = 500
+# Another entry host can take the request at once.
+STOPPING_RETRY_AFTER_MS: ty.Final = 100
 # Random extension of Retry-After, so that callers do not retry all at once.
 RETRY_SPREAD: ty.Final = 0.5
 # For requests without a deadline header.
@@ -65,6 +69,16 @@
         self._zone = zone
         self._clock = clock
         self._rng = rng
+        self._running = running_requests.RunningRequests()
+        self._latest_deadline_s = math.inf
+
+    def limit_deadlines(self, left_s: float) -> None:
+        """Let all further requests have their deadlines within ``left_s``."""
+        self._latest_deadline_s = self._clock() + left_s
+
+    def end_all(self) -> None:
+        """End the requests in flight, each with an answer or a refusal."""
+        self._running.end_all()
 
     def find_route(
         self, request: fleet_request.FleetRequest
@@ -119,12 +133,17 @@
             request=request,
             named_route=named_route,
             service=service,
-            deadline_s=started_s + left_ms / 1000,
+            deadline_s=min(
+                started_s + left_ms / 1000, self._latest_deadline_s
+            ),
             body=replay.ReplayableBody(request.body),
         )
         outcome, code = "cancelled", "cancelled"
         try:
-            answer = await self._send_with_retries(state)
+            answer = await self._running.run(
+                self._send_with_retries(state),
+                lambda: self._answer_at_stop(state),
+            )
             outcome = f"answered {answer.status}"
             code = str(results.ANSWERED)
             return answer
@@ -152,6 +171,7 @@
                     self._budgets.of(state.service).record_request()
                 return await self._send(state, target)
             except sending.SendError as error:
+                state.awaiting_answer = False
                 state.failures.append(error.failure)
                 state.answer = error.answer or state.answer
                 if not self._may_retry(state, error.failure):
@@ -160,6 +180,27 @@
                     raise self._final_refusal(state) from error
                 self._mark_if_misdirected(state, error.failure)
 
+    def _answer_at_stop(
+        self, state: dispatch_state.DispatchState
+    ) -> fleet_request.FleetAnswer:
+        """Return a target's failure, if it reported one before the stop.
+
+        :raises RefusedError: without one; says whether the request has run
+        """
+        if state.answer is not None:
+            return state.answer
+        if state.awaiting_answer:
+            raise results.refusal(
+                results.OUTCOME_UNKNOWN,
+                f"this entry host stopped before {state.sent_to[-1]} answered",
+            )
+        raise self._not_run_refusal(
+            state,
+            results.STOPPING,
+            "this entry host is stopping",
+            STOPPING_RETRY_AFTER_MS,
+        )
+
     def _may_retry(
         self,
         state: dispatch_state.DispatchState,
@@ -187,6 +228,7 @@
                 kind = type(state.failures[-1]).__name__
                 self._metrics.retries.add(1, {"reason": kind})
             state.sent_to.append(target.name)
+            state.awaiting_answer = True
 
         return await self._sender.send(
             state.request,
--- a/tests/daemon/test_fleet_running.py
+++ b/tests/daemon/test_fleet_running.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import types
+from unittest import mock
 
 from goldcrestproxy import callers
 from goldcrestproxy.daemon import fleet_running
@@ -33,9 +34,13 @@
         self.interrupted.append("an accepted request")
 
 
+def entry_of(gate):
+    return types.SimpleNamespace(gate=gate, dispatcher=mock.Mock())
+
+
 def stop(gate, server):
     daemon = types.SimpleNamespace(
-        entry=types.SimpleNamespace(gate=gate),
+        entry=entry_of(gate),
         fleet_settings=types.SimpleNamespace(stop_s=5.0),
         listeners=[
             types.SimpleNamespace(setting="fleet.callers", server=server)
@@ -69,7 +74,7 @@
         gate.enter()
         asyncio.get_running_loop().call_later(0.1, gate.leave)
         daemon = types.SimpleNamespace(
-            entry=types.SimpleNamespace(gate=gate),
+            entry=entry_of(gate),
             fleet_settings=types.SimpleNamespace(stop_s=5.0),
             listeners=[
                 types.SimpleNamespace(setting="fleet.callers", server=server)
@@ -102,7 +107,7 @@
         loop.call_later(0.2, gate.leave)
         await fleet_running._stop(
             types.SimpleNamespace(
-                entry=types.SimpleNamespace(gate=gate),
+                entry=entry_of(gate),
                 fleet_settings=types.SimpleNamespace(stop_s=5.0),
                 listeners=[],
             )
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -26,6 +26,8 @@
 from goldcrestproxy import telemetry
 
 ANSWER = entries.FleetAnswer(status=200, headers=(), body=b"done")
+# Outcomes of attempts that never end.
+NO_CONNECTION, SILENCE = object(), object()
 FAILURE = entries.FleetAnswer(status=500, headers=(), body=b"failed")
 REQUEST = entries.FleetRequest(
     request_id="r1",
@@ -121,11 +123,17 @@
     outcomes: list
     pause_after: bool = False
     sent: int = 0
+    deadlines_s: list = attrs.field(factory=list)
 
-    async def send(self, *_, on_sent, **__):
+    async def send(self, *_, on_sent, deadline_s, **__):
+        self.deadlines_s.append(deadline_s)
+        outcome = self.outcomes.pop(0)
+        if outcome is NO_CONNECTION:
+            await asyncio.Event().wait()
         on_sent(0.0)
         self.sent += 1
-        outcome = self.outcomes.pop(0)
+        if outcome is SILENCE:
+            await asyncio.Event().wait()
         if self.pause_after:
             self.fleet.target.stats.back_off_until_s = 10.0
         if isinstance(outcome, Exception):
@@ -133,8 +141,8 @@
         return outcome
 
 
-def dispatch(fleet, sender):
-    dispatcher = entries.Dispatcher(
+def make_dispatcher(fleet, sender):
+    return entries.Dispatcher(
         fleet,
         sender,
         fleet_retries.ServiceRetryBudgets(
@@ -145,10 +153,29 @@
         lambda: 1.0,
         random.Random(1),
     )
+
+
+def dispatch(fleet, sender):
+    dispatcher = make_dispatcher(fleet, sender)
     named_route = dispatcher.find_route(REQUEST)
     return asyncio.run(dispatcher.dispatch(REQUEST, named_route))
 
 
+def dispatch_until_stop(fleet, sender):
+    """Dispatch a request, and end all requests once it waits."""
+
+    async def scenario():
+        dispatcher = make_dispatcher(fleet, sender)
+        named_route = dispatcher.find_route(REQUEST)
+        task = asyncio.create_task(dispatcher.dispatch(REQUEST, named_route))
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        dispatcher.end_all()
+        return await task
+
+    return asyncio.run(scenario())
+
+
 def failed(failure, answer=None):
     return sending.SendError(failure, answer)
 
@@ -244,3 +271,66 @@
     again = attrs.evolve(REQUEST, request_id="r2", deadline_ms=300)
     assert other.fingerprint != REQUEST.fingerprint
     assert again.fingerprint == REQUEST.fingerprint
+
+
+def test_stop_ends_a_sent_request_with_an_unknown_outcome():
+    fleet = FakeFleet(UNSAFE)
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch_until_stop(fleet, FakeSender(fleet, [SILENCE]))
+    assert refused.value.code == results.OUTCOME_UNKNOWN
+
+
+def test_stop_ends_a_request_that_was_not_sent_as_not_run():
+    fleet = FakeFleet(UNSAFE)
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch_until_stop(fleet, FakeSender(fleet, [NO_CONNECTION]))
+    assert refused.value.code == results.STOPPING
+    assert refused.value.retry_after_ms > 0
+
+
+@pytest.mark.parametrize("second", [NO_CONNECTION, SILENCE])
+def test_stop_during_a_retry_does_not_hide_that_the_first_may_have_run(
+    second,
+):
+    fleet = FakeFleet(SAFE)
+    first = failed(fleet_retries.MaybeRun(text="cut"))
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch_until_stop(fleet, FakeSender(fleet, [first, second]))
+    assert refused.value.code == results.OUTCOME_UNKNOWN
+
+
+def test_stop_after_a_target_failed_returns_its_answer():
+    fleet = FakeFleet(SAFE)
+    first = failed(fleet_retries.Failed(status=500), FAILURE)
+    sender = FakeSender(fleet, [first, SILENCE])
+    assert dispatch_until_stop(fleet, sender) is FAILURE
+
+
+def test_caller_that_disconnects_cancels_its_request():
+    fleet = FakeFleet(SAFE)
+
+    async def scenario():
+        dispatcher = make_dispatcher(fleet, FakeSender(fleet, [SILENCE]))
+        named_route = dispatcher.find_route(REQUEST)
+        task = asyncio.create_task(dispatcher.dispatch(REQUEST, named_route))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await task
+
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(scenario())
+
+
+def test_deadlines_are_limited_during_a_stop():
+    fleet = FakeFleet(SAFE)
+    sender = FakeSender(fleet, [ANSWER, ANSWER])
+
+    async def scenario():
+        dispatcher = make_dispatcher(fleet, sender)
+        named_route = dispatcher.find_route(REQUEST)
+        await dispatcher.dispatch(REQUEST, named_route)
+        dispatcher.limit_deadlines(0.2)
+        await dispatcher.dispatch(REQUEST, named_route)
+
+    asyncio.run(scenario())
+    assert sender.deadlines_s == [1.5, 1.2]
