Answer before the request body ends, and keep the connection meanwhile

Callers saw: a refusal of an upload that was known at its first byte came only after its last one, or was lost because the connection was reset; a body that was still arriving when its host stopped got no answer at all; a refused request without a body found its connection closed without notice.

Cause: an answer was sent only by the method that Tornado calls at the end of the body, and a refusal at the start finished the request, upon which Tornado closes the connection with the rest of the body unread. That resets it, and the caller loses what it has not read yet.

Both handlers now send the answer as soon as there is one, with its length, and finish the request when the rest of the body has been read and discarded. They share this in StreamingHandler; the one of the project's own interface also closes the connection of a cancelled request instead of finishing it as an empty success. A body that is too large, or that the caller announces with Expect: 100-continue, is not read: the connection is closed as before.

Of the tests in tests/platform/test_ingress.py these failed before, with ConnectionResetError, IncompleteReadError or a time-out: a refusal during the body, a refusal to a caller that sends its body first, a refused request without a body, no interim answer after a refusal, an answer while the body is arriving, a stop while the body is arriving.

--- a/src/goldcrestproxy/callers/handler.py
+++ b/src/goldcrestproxy/callers/handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import time
 import typing as ty
@@ -36,51 +35,29 @@
         self._gate = gate
         self._metrics = metrics
         self._request_id_bytes_max = request_id_bytes_max
-        self._request_body: wire.Pipe | None = None
-        self._answer_task: asyncio.Task[entries.RoutedAnswer] | None = None
         self._request_id = ""
-        self._entered_gate = False
         self._idempotent = True
         self._result_code = results.ANSWERED
         self._started_s = time.monotonic()
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Classify the request and start routing it."""
         try:
             self._request_id = headers.request_id(
                 self.request.headers, self._request_id_bytes_max
             )
-            self._gate.enter()
-            self._entered_gate = True
+            self.enter_gate()
             method = ty.cast(str, self.request.method)
             classified = self._router.classify(method, self.request.uri or "")
             self._idempotent = classified.route.idempotent
             request = self._build_request(classified)
         except errors.RefusedError as error:
-            self._send_refusal(error)
-            self.finish()
+            await self.refuse(error)
             return
-        self._answer_task = asyncio.create_task(
-            self._router.route(request, classified)
-        )
-
-    async def _serve(self) -> None:
-        if self._answer_task is None:
-            return
-        if self._request_body is not None:
-            self._request_body.finish()
-        try:
-            answer = await self._answer_task
-        except errors.RefusedError as error:
-            self._send_refusal(error)
-            return
-        except Exception as error:
-            LOG.exception("callers: request %s failed", self._request_id)
-            self._send_refusal(results.refusal(results.INTERNAL, str(error)))
-            return
-        await self._send_answer(answer)
+        self.start(self._router.route(request, classified))
 
-    get = post = put = patch = delete = head = _serve  # type: ignore
+    get = post = put = streaming.StreamingHandler.serve  # type: ignore
+    patch = delete = head = streaming.StreamingHandler.serve  # type: ignore
 
     def on_connection_close(self) -> None:
         """Cancel the request if idempotent, since its caller disconnected."""
@@ -93,16 +70,11 @@
             # A request that is not idempotent runs to its end, so that its
             # outcome is recorded.
             self._answer_task.cancel()
-        self._leave_gate()
-
-    def _leave_gate(self) -> None:
-        if self._entered_gate:
-            self._entered_gate = False
-            self._gate.leave()
+        self.leave_gate()
 
     def on_finish(self) -> None:
         """Leave the gate and record the metrics of the request."""
-        self._leave_gate()
+        super().on_finish()
         code = self._result_code
         self._metrics.requests.add(1, {"code": str(code)})
         self._metrics.duration.record(
@@ -135,16 +107,19 @@
             trace_parent=request_headers.get(headers.TRACE_PARENT, ""),
         )
 
-    def _send_refusal(self, error: errors.RefusedError) -> None:
+    def send_refusal(self, error: errors.RefusedError) -> None:
+        """Write a refusal as the answer."""
         result = results.BY_CODE[error.code]
         self._result_code = error.code
         self.clear()
         self.set_status(result.status, result.name)
+        if not self._gate.ready:
+            self.set_header("Connection", "close")
         self._set_result_headers(error.code)
         if error.retry_after_ms:
             seconds = -(-error.retry_after_ms // 1000)
             self.set_header("Retry-After", str(seconds))
-        self.write(
+        self.write_json(
             {
                 "code": error.code,
                 "name": result.name,
@@ -162,15 +137,17 @@
         if self._request_id:
             self.set_header(headers.REQUEST_ID, self._request_id)
 
-    async def _send_answer(self, answer: entries.RoutedAnswer) -> None:
+    async def send_answer(self, answer: entries.RoutedAnswer) -> None:
+        """Write the answer of a target, and stream a large one."""
         self.set_status(answer.status)
+        if not self._gate.ready:
+            self.set_header("Connection", "close")
         for name, value in answer.headers:
             if name.lower() != "goldcrest-request-id":
                 self.add_header(name, value)
         self._set_result_headers(answer.code)
         if answer.whole_body is not None:
-            if answer.whole_body:
-                self.write(answer.whole_body)
+            self.write_whole_body(answer.whole_body)
             return
         if answer.body_bytes >= 0:
             self.set_header("Content-Length", str(answer.body_bytes))
--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -3,23 +3,96 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import typing as ty
 
+from tornado import escape
+from tornado import iostream
 from tornado import web
 
+from goldcrestproxy.callers import gate as gates
+from goldcrestproxy.callers import headers
 from goldcrestproxy import errors
+from goldcrestproxy import results
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
 
+STATUSES_WITHOUT_BODY: ty.Final = (204, 304)
+
 
 @web.stream_request_body
 class StreamingHandler(web.RequestHandler):
-    """Streams request and answer bodies with back-pressure."""
+    """Streams request and answer bodies with back-pressure.
+
+    A subclass calls ``start`` or ``refuse`` in ``prepare``, uses ``serve``
+    for its methods, and implements ``send_answer`` and ``send_refusal``.
+    """
+
+    _gate: gates.Gate
+    _request_body: wire.Pipe | None = None
+    _request_body_ended = False
+    _answer_task: asyncio.Task[ty.Any] | None = None
+    _delivery_task: asyncio.Task[None] | None = None
+    _entered_gate = False
+
+    def enter_gate(self) -> None:
+        """Count the request as in flight until its answer is written.
+
+        :raises RefusedError: if the host accepts no more requests
+        """
+        self._gate.enter()
+        self._entered_gate = True
+
+    def start(self, work: ty.Coroutine[ty.Any, ty.Any, ty.Any]) -> None:
+        """Start forwarding the request; ``work`` returns the answer."""
+        self._answer_task = asyncio.create_task(work)
+        if self._request_body is not None:
+            # The answer may be available before the whole request body.
+            self._delivery_task = asyncio.create_task(self._deliver())
+
+    async def refuse(self, error: errors.RefusedError) -> None:
+        """Refuse the request without waiting for its body."""
+        self.send_refusal(error)
+        awaits_continue = (
+            self.request.headers.get("Expect", "").lower() == "100-continue"
+        )
+        if awaits_continue or error.code == results.BODY_TOO_LARGE:
+            # Closes the connection instead of reading the body.
+            await self.finish()
+        else:
+            await self._flush_before_request_body_ends()
+
+    def send_refusal(self, error: errors.RefusedError) -> None:
+        """Write a refusal as the answer."""
+        raise NotImplementedError
+
+    async def send_answer(self, answer: ty.Any) -> None:
+        """Write the answer of a target."""
+        raise NotImplementedError
+
+    async def serve(self) -> None:
+        """Complete the answer; called when the request body has ended."""
+        self._request_body_ended = True
+        if self._request_body is not None:
+            self._request_body.finish()
+        if self._delivery_task is not None:
+            await self._delivery_task
+        elif self._answer_task is not None:
+            await self._deliver()
+        if not self._gate.ready:
+            await self._close_after_answer()
+
+    def on_finish(self) -> None:
+        """Leave the gate."""
+        self.leave_gate()
 
-    _request_body: wire.Pipe | None
-    _answer_task: asyncio.Task[ty.Any] | None
+    def leave_gate(self) -> None:
+        """Count the request as completed, unless this was done before."""
+        if self._entered_gate:
+            self._entered_gate = False
+            self._gate.leave()
 
     async def data_received(self, chunk: bytes) -> None:
         """Forward a chunk of the request body; wait if the pipe is full."""
@@ -46,6 +119,21 @@
         """Return None: entity tags are set by the target."""
         return None
 
+    def write_json(self, content: dict[str, ty.Any]) -> None:
+        """Write JSON as the whole body of the answer."""
+        self.set_header("Content-Type", "application/json; charset=UTF-8")
+        self.write_whole_body(escape.json_encode(content).encode())
+
+    def write_whole_body(self, body: bytes) -> None:
+        """Write the whole body of the answer."""
+        if (
+            self.request.method != "HEAD"
+            and self.get_status() not in STATUSES_WITHOUT_BODY
+        ):
+            self.set_header("Content-Length", str(len(body)))
+        if body:
+            self.write(body)
+
     async def stream_answer_body(
         self, body: wire.Pipe, request_id: str
     ) -> None:
@@ -68,4 +156,48 @@
 
     def close_connection(self) -> None:
         """Close the connection without sending anything further."""
-        ty.cast(ty.Any, self.request.connection).stream.close()
+        self._stream().close()
+
+    async def _deliver(self) -> None:
+        """Send the answer, or a refusal, as soon as there is one."""
+        try:
+            answer = await ty.cast(asyncio.Task[ty.Any], self._answer_task)
+        except errors.RefusedError as error:
+            self.send_refusal(error)
+        except asyncio.CancelledError:
+            # The caller has disconnected or the process is shutting down.
+            # Without closing the connection, the unfinished answer would
+            # reach the caller as an empty success.
+            self.close_connection()
+            return
+        except Exception as error:
+            LOG.exception("callers: request failed")
+            self.send_refusal(results.refusal(results.INTERNAL, str(error)))
+        else:
+            await self.send_answer(answer)
+        await self._flush_before_request_body_ends()
+
+    async def _flush_before_request_body_ends(self) -> None:
+        """Write the answer at once if the request body is still arriving.
+
+        The rest of the body is read and discarded before the request is
+        finished: closing a connection with unread bytes resets it, and the
+        caller may then lose the answer.
+        """
+        if self._request_body_ended or not headers.body_bytes(
+            self.request.headers
+        ):
+            return
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self.flush()
+
+    async def _close_after_answer(self) -> None:
+        """Finish the answer and close, so that the caller reconnects."""
+        with contextlib.suppress(iostream.StreamClosedError):
+            if not self._finished:
+                await self.finish()
+        self.close_connection()
+
+    def _stream(self) -> iostream.IOStream:
+        connection = ty.cast(ty.Any, self.request.connection)
+        return ty.cast(iostream.IOStream, connection.stream)
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import typing as ty
 
@@ -35,57 +34,21 @@
         self._metrics = metrics
         self._dispatcher = dispatcher
         self._gate = gate
-        self._request_body: wire.Pipe | None = None
-        self._answer_task: asyncio.Task[entries.FleetAnswer] | None = None
         self._answer: entries.FleetAnswer | None = None
-        self._entered_gate = False
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Find the route of the request and start dispatching it."""
         try:
-            self._gate.enter()
-            self._entered_gate = True
+            self.enter_gate()
             request = self._build_request()
             route = self._dispatcher.find_route(request)
         except errors.RefusedError as error:
-            self._send_refusal(error)
-            self.finish()
+            await self.refuse(error)
             return
-        self._answer_task = asyncio.create_task(
-            self._dispatcher.dispatch(request, route)
-        )
-
-    async def _serve(self) -> None:
-        if self._answer_task is None:
-            return
-        if self._request_body is not None:
-            self._request_body.finish()
-        try:
-            self._answer = await self._answer_task
-        except errors.RefusedError as error:
-            self._send_refusal(error)
-            return
-        except asyncio.CancelledError:
-            # The caller has disconnected or the process is shutting down.
-            # Without closing the connection, the unfinished answer would
-            # reach the caller as an empty success.
-            self.close_connection()
-            return
-        except Exception as error:
-            LOG.exception("platform: request failed")
-            self._send_refusal(results.refusal(results.INTERNAL, str(error)))
-            return
-        await self._send_answer(self._answer)
-        if not self._gate.ready:
-            await self._close_after_answer()
+        self.start(self._dispatcher.dispatch(request, route))
 
-    async def _close_after_answer(self) -> None:
-        """Send the answer and close, so that the caller reconnects."""
-        if not self._finished:
-            await self.finish()
-        self.close_connection()
-
-    get = post = put = patch = delete = head = options = _serve  # type: ignore
+    get = post = put = patch = callers.StreamingHandler.serve  # type: ignore
+    delete = head = options = callers.StreamingHandler.serve  # type: ignore
 
     def on_connection_close(self) -> None:
         """Cancel the request, since its caller has disconnected."""
@@ -99,16 +62,7 @@
             self._answer_task.cancel()
         if self._answer is not None and self._answer.cancel is not None:
             self._answer.cancel()
-        self._leave_gate()
-
-    def on_finish(self) -> None:
-        """Leave the gate."""
-        self._leave_gate()
-
-    def _leave_gate(self) -> None:
-        if self._entered_gate:
-            self._entered_gate = False
-            self._gate.leave()
+        self.leave_gate()
 
     def _build_request(self) -> entries.FleetRequest:
         headers = self.request.headers
@@ -146,7 +100,8 @@
             )
         return int(value)
 
-    def _send_refusal(self, error: errors.RefusedError) -> None:
+    def send_refusal(self, error: errors.RefusedError) -> None:
+        """Write a refusal as the answer."""
         result = results.BY_CODE[error.code]
         self.clear()
         self.set_status(result.status)
@@ -167,17 +122,18 @@
             text=error.text,
             retry_after_ms=error.retry_after_ms,
         )
-        self.write({"error": error.text, "code": error.code})
+        self.write_json({"error": error.text, "code": error.code})
 
-    async def _send_answer(self, answer: entries.FleetAnswer) -> None:
+    async def send_answer(self, answer: entries.FleetAnswer) -> None:
+        """Write the answer of a target, and stream a large one."""
+        self._answer = answer
         self.set_status(answer.status)
         if not self._gate.ready:
             self.set_header("Connection", "close")
         for name, value in answer.headers:
             self.add_header(name, value)
         if answer.remaining_body is None:
-            if answer.body:
-                self.write(answer.body)
+            self.write_whole_body(answer.body)
             return
         if answer.body_bytes is not None and answer.body_bytes >= 0:
             self.set_header("Content-Length", str(answer.body_bytes))
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,243 @@
+"""Answers reach their callers whatever state their connections are in.
+
+The handler runs in a real HTTP server; the dispatcher is a fake.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import types
+
+import pytest
+from tornado import httpserver
+from tornado import web
+
+from goldcrestproxy import callers
+from goldcrestproxy.daemon import fleet_running
+from goldcrestproxy import entries
+from goldcrestproxy import platform
+from goldcrestproxy import results
+from goldcrestproxy import settings
+from goldcrestproxy import telemetry
+
+NOT_RUN = results.refusal(results.NO_TARGET, "no target answers", 200)
+# More than the buffers of a loopback connection hold.
+LARGE_BYTES = 16 * 1024 * 1024
+TIMEOUT_S = 10.0
+
+
+class FakeDispatcher:
+    """Gives each request the same outcome, after ``ready`` is set."""
+
+    def __init__(self, outcome, *, has_route=True):
+        self.ready = asyncio.Event()
+        self.ready.set()
+        self.ended = False
+        self._outcome = outcome
+        self._has_route = has_route
+
+    def find_route(self, request):
+        if not self._has_route:
+            raise NOT_RUN
+        return "route"
+
+    async def dispatch(self, request, route):
+        await self.ready.wait()
+        if isinstance(self._outcome, Exception):
+            raise self._outcome
+        return self._outcome
+
+    def limit_deadlines(self, left_s):
+        pass
+
+    def end_all(self):
+        self.ended = True
+        self.ready.set()
+
+
+class Host:
+    """An entry host with its caller server on a loopback port."""
+
+    def __init__(self, dispatcher):
+        self.gate = callers.Gate()
+        self.dispatcher = dispatcher
+        metrics = telemetry.make_metrics(settings.Telemetry(), "test")
+        self.server = httpserver.HTTPServer(
+            web.Application(
+                [
+                    (
+                        r"/.*",
+                        platform.IngressHandler,
+                        {
+                            "dispatcher": dispatcher,
+                            "gate": self.gate,
+                            "metrics": metrics,
+                        },
+                    )
+                ]
+            )
+        )
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        self.server.listen(0, address="127.0.0.1")
+        try:
+            yield
+        finally:
+            self.server.stop()
+            await self.server.close_all_connections()
+
+    async def connect(self, limit=1 << 16):
+        (listening,) = self.server._sockets.values()
+        port = listening.getsockname()[1]
+        return await asyncio.open_connection("127.0.0.1", port, limit=limit)
+
+    async def stop(self, stop_s):
+        listener = types.SimpleNamespace(
+            setting="fleet.callers", server=self.server
+        )
+        await fleet_running._stop(
+            types.SimpleNamespace(
+                entry=types.SimpleNamespace(
+                    gate=self.gate, dispatcher=self.dispatcher
+                ),
+                fleet_settings=types.SimpleNamespace(stop_s=stop_s),
+                listeners=[listener],
+            )
+        )
+
+
+def play(scenario):
+    """Run a coroutine; fail if it does not end in ``TIMEOUT_S``."""
+
+    async def run():
+        async with asyncio.timeout(TIMEOUT_S):
+            await scenario()
+
+    asyncio.run(run())
+
+
+def head_of(method, body_bytes=0, *more):
+    lines = [f"{method} /x/1 HTTP/1.1", "Host: a.example", *more]
+    if body_bytes:
+        lines.append(f"Content-Length: {body_bytes}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def read_answer(reader):
+    """Read one answer; return status, headers and body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head.rstrip().split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines)
+    body = await reader.readexactly(int(headers["Content-Length"]))
+    return int(first.split(" ")[1]), headers, body
+
+
+def answer_of(body):
+    return entries.FleetAnswer(status=200, headers=(), body=body)
+
+
+@pytest.mark.parametrize("has_route", [False, True])
+def test_a_refusal_during_the_body_reaches_the_caller(has_route):
+    async def scenario():
+        host = Host(FakeDispatcher(NOT_RUN, has_route=has_route))
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", LARGE_BYTES))
+            writer.write(bytes(LARGE_BYTES // 2))
+            # The refusal does not wait for the rest of the body.
+            status, _, _ = await read_answer(reader)
+            assert status == 503
+            writer.write(bytes(LARGE_BYTES // 2))
+            await writer.drain()
+            writer.write(head_of("GET"))
+            assert (await read_answer(reader))[0] == 503
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_refusal_reaches_a_caller_that_sends_its_body_first():
+    async def scenario():
+        host = Host(FakeDispatcher(NOT_RUN, has_route=False))
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", LARGE_BYTES))
+            for _ in range(16):
+                writer.write(bytes(LARGE_BYTES // 16))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            assert (await read_answer(reader))[0] == 503
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_refused_request_without_a_body_keeps_its_connection():
+    async def scenario():
+        host = Host(FakeDispatcher(NOT_RUN, has_route=False))
+        async with host.running():
+            reader, writer = await host.connect()
+            for _ in range(3):
+                writer.write(head_of("GET"))
+                assert (await read_answer(reader))[0] == 503
+            writer.close()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("has_route", [False, True])
+def test_no_interim_answer_follows_a_refusal(has_route):
+    async def scenario():
+        host = Host(FakeDispatcher(NOT_RUN, has_route=has_route))
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", 10, "Expect: 100-continue"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith(b"HTTP/1.1 100 "):
+                head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503 ")
+            writer.write(bytes(10))
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                async with asyncio.timeout(0.2):
+                    rest = await reader.read()
+                    assert b"HTTP/1.1" not in rest
+            writer.close()
+
+    play(scenario)
+
+
+def test_an_answer_is_sent_while_the_body_is_arriving():
+    async def scenario():
+        host = Host(FakeDispatcher(answer_of(b"too late for you")))
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", 100))
+            assert (await read_answer(reader))[2] == b"too late for you"
+            writer.write(bytes(100) + head_of("GET"))
+            assert (await read_answer(reader))[2] == b"too late for you"
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_stop_ends_a_request_whose_body_is_still_arriving(monkeypatch):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
+
+    async def scenario():
+        dispatcher = FakeDispatcher(NOT_RUN)
+        dispatcher.ready.clear()
+        host = Host(dispatcher)
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", 100) + bytes(50))
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(host.stop(1.5))
+            status, headers, _ = await read_answer(reader)
+            assert (status, headers["Connection"]) == (503, "close")
+            assert dispatcher.ended
+            await stopping
+            writer.close()
+
+    play(scenario)
