Count a request as in flight until its answer is written

Callers saw: an answer that was cut short at a planned stop.

Cause: a request left the gate when its answer was complete in the process, and a stop then closed the connections with the rest of the answer still in their buffers, where slow callers or full links leave it.

A request now leaves the gate when its answer has been handed to the network stack, and a stopping host closes a connection only after that.

test_a_stop_does_not_truncate_an_answer_to_a_slow_caller failed before (3.9 of 16.8 MB were read), and so did test_a_request_is_in_flight_until_its_answer_is_written (0 in flight).

--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -85,8 +85,12 @@
             await self._close_after_answer()
 
     def on_finish(self) -> None:
-        """Leave the gate."""
-        self.leave_gate()
+        """Leave the gate once the answer has been written."""
+        stream = self._stream()
+        if stream.closed() or not stream.writing():
+            self.leave_gate()
+        else:
+            stream.write(b"").add_done_callback(lambda _: self.leave_gate())
 
     def leave_gate(self) -> None:
         """Count the request as completed, unless this was done before."""
@@ -196,6 +200,8 @@
         with contextlib.suppress(iostream.StreamClosedError):
             if not self._finished:
                 await self.finish()
+            # Resolves when everything before it has been written.
+            await self._stream().write(b"")
         self.close_connection()
 
     def _stream(self) -> iostream.IOStream:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -222,6 +222,41 @@
     play(scenario)
 
 
+def test_a_request_is_in_flight_until_its_answer_is_written():
+    async def scenario():
+        host = Host(FakeDispatcher(answer_of(bytes(LARGE_BYTES))))
+        async with host.running():
+            reader, writer = await host.connect(limit=1024)
+            writer.write(head_of("GET"))
+            await asyncio.sleep(0.3)
+            assert host.gate.in_flight == 1
+            _, _, body = await read_answer(reader)
+            assert len(body) == LARGE_BYTES
+            await host.gate.wait_empty()
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_stop_does_not_truncate_an_answer_to_a_slow_caller(monkeypatch):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
+
+    async def scenario():
+        host = Host(FakeDispatcher(answer_of(bytes(LARGE_BYTES))))
+        async with host.running():
+            reader, writer = await host.connect(limit=1024)
+            writer.write(head_of("GET"))
+            await asyncio.sleep(0.2)
+            stopping = asyncio.create_task(host.stop(5.0))
+            await asyncio.sleep(0.5)
+            _, _, body = await read_answer(reader)
+            assert len(body) == LARGE_BYTES
+            await stopping
+            writer.close()
+
+    play(scenario)
+
+
 def test_a_stop_ends_a_request_whose_body_is_still_arriving(monkeypatch):
     monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
 
