--- a/src/goldcrestproxy/results.py
+++ b/src/goldcrestproxy/results.py
@@ -276,7 +276,8 @@
         "outcome-unknown",
         502,
         Outcome.UNKNOWN,
-        "The request was sent and the connection failed unanswered.",
+        "The request was sent; no answer came before the connection or "
+        "the daemon ended.",
         "Look whether it ran before sending it again.",
     ),
     _row(
