Let a caller read the refusal of a body that is too large

The rest of such a body is discarded too now, up to 32 MiB after any answer; then the connection is closed, so that a body without end is not read for ever.

test_a_refusal_reaches_a_caller_that_sends_its_body_first failed before for both refusals with ConnectionResetError.

A chunk of a request body was also dropped, and later ones were forwarded, if the answer was being streamed while the pipe to the target was full. Chunks are discarded only once the answer has been delivered: test_a_target_gets_the_whole_body_while_its_answer_is_streamed failed before (0.6 of 16.8 MB came back).

--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import sys
 import typing as ty
 
 from tornado import escape
@@ -20,6 +21,8 @@
 LOG = logging.getLogger(__name__)
 
 STATUSES_WITHOUT_BODY: ty.Final = (204, 304)
+# Part of a request body that is read after the answer was sent.
+DISCARDED_BYTES_MAX: ty.Final = 32 * 1024 * 1024
 
 
 @web.stream_request_body
@@ -36,6 +39,7 @@
     _answer_task: asyncio.Task[ty.Any] | None = None
     _delivery_task: asyncio.Task[None] | None = None
     _entered_gate = False
+    _discarded_bytes = 0
 
     def enter_gate(self) -> None:
         """Count the request as in flight until its answer is written.
@@ -55,14 +59,13 @@
     async def refuse(self, error: errors.RefusedError) -> None:
         """Refuse the request without waiting for its body."""
         self.send_refusal(error)
-        awaits_continue = (
-            self.request.headers.get("Expect", "").lower() == "100-continue"
-        )
-        if awaits_continue or error.code == results.BODY_TOO_LARGE:
-            # Closes the connection instead of reading the body.
+        if self.request.headers.get("Expect", "").lower() == "100-continue":
+            # Otherwise Tornado would ask for the body after the refusal.
             await self.finish()
-        else:
-            await self._flush_before_request_body_ends()
+            return
+        connection = ty.cast(ty.Any, self.request.connection)
+        connection.set_max_body_size(sys.maxsize)
+        await self._flush_before_request_body_ends()
 
     def send_refusal(self, error: errors.RefusedError) -> None:
         """Write a refusal as the answer."""
@@ -100,18 +103,30 @@
 
     async def data_received(self, chunk: bytes) -> None:
         """Forward a chunk of the request body; wait if the pipe is full."""
-        if self._request_body is None or self._answer_task is None:
+        if self._delivery_task is None or self._delivery_task.done():
+            await self._discard(chunk)
             return
-        if self._request_body.full and not self._request_body.ended:
-            put_task = asyncio.create_task(self._request_body.put(chunk))
-            # Once the answer is available, the rest of the body is not read.
+        body = ty.cast(wire.Pipe, self._request_body)
+        if body.full and not body.ended:
+            put_task = asyncio.create_task(body.put(chunk))
+            # Nobody reads the body once the answer has been delivered.
             await asyncio.wait(
-                {put_task, self._answer_task},
+                {put_task, self._delivery_task},
                 return_when=asyncio.FIRST_COMPLETED,
             )
             put_task.cancel()
             return
-        self._request_body.feed(chunk)
+        body.feed(chunk)
+
+    async def _discard(self, chunk: bytes) -> None:
+        """Discard a chunk that comes after the answer.
+
+        Beyond ``DISCARDED_BYTES_MAX`` the request is finished, which closes
+        the connection.
+        """
+        self._discarded_bytes += len(chunk)
+        if self._discarded_bytes > DISCARDED_BYTES_MAX and not self._finished:
+            await self.finish()
 
     def set_default_headers(self) -> None:
         """Remove Tornado's default headers: only the target's are sent."""
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import random
 import types
 
 import pytest
@@ -14,14 +15,17 @@
 from tornado import web
 
 from goldcrestproxy import callers
+from goldcrestproxy.callers import streaming
 from goldcrestproxy.daemon import fleet_running
 from goldcrestproxy import entries
 from goldcrestproxy import platform
 from goldcrestproxy import results
 from goldcrestproxy import settings
 from goldcrestproxy import telemetry
+from goldcrestproxy import wire
 
 NOT_RUN = results.refusal(results.NO_TARGET, "no target answers", 200)
+TOO_LARGE = results.refusal(results.BODY_TOO_LARGE, "1 byte is allowed")
 # More than the buffers of a loopback connection hold.
 LARGE_BYTES = 16 * 1024 * 1024
 TIMEOUT_S = 10.0
@@ -34,15 +38,17 @@
         self.ready = asyncio.Event()
         self.ready.set()
         self.ended = False
+        self.request = None
         self._outcome = outcome
         self._has_route = has_route
 
     def find_route(self, request):
         if not self._has_route:
-            raise NOT_RUN
+            raise self._outcome
         return "route"
 
     async def dispatch(self, request, route):
+        self.request = request
         await self.ready.wait()
         if isinstance(self._outcome, Exception):
             raise self._outcome
@@ -158,9 +164,12 @@
     play(scenario)
 
 
-def test_a_refusal_reaches_a_caller_that_sends_its_body_first():
+@pytest.mark.parametrize(
+    ("refusal", "status"), [(NOT_RUN, 503), (TOO_LARGE, 413)]
+)
+def test_a_refusal_reaches_a_caller_that_sends_its_body_first(refusal, status):
     async def scenario():
-        host = Host(FakeDispatcher(NOT_RUN, has_route=False))
+        host = Host(FakeDispatcher(refusal, has_route=False))
         async with host.running():
             reader, writer = await host.connect()
             writer.write(head_of("POST", LARGE_BYTES))
@@ -168,12 +177,31 @@
                 writer.write(bytes(LARGE_BYTES // 16))
                 await writer.drain()
                 await asyncio.sleep(0.02)
-            assert (await read_answer(reader))[0] == 503
+            assert (await read_answer(reader))[0] == status
             writer.close()
 
     play(scenario)
 
 
+def test_a_body_without_end_is_not_read_for_ever_after_a_refusal(monkeypatch):
+    monkeypatch.setattr(streaming, "DISCARDED_BYTES_MAX", 1 << 20)
+
+    async def scenario():
+        host = Host(FakeDispatcher(NOT_RUN, has_route=False))
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", 0, "Transfer-Encoding: chunked"))
+            assert (await read_answer(reader))[0] == 503
+            chunk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+            with pytest.raises(ConnectionError):
+                while True:
+                    writer.write(chunk)
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+
+    play(scenario)
+
+
 def test_a_refused_request_without_a_body_keeps_its_connection():
     async def scenario():
         host = Host(FakeDispatcher(NOT_RUN, has_route=False))
@@ -222,6 +250,38 @@
     play(scenario)
 
 
+def test_a_target_gets_the_whole_body_while_its_answer_is_streamed():
+    async def scenario():
+        remaining = wire.Pipe()
+        answer = entries.FleetAnswer(
+            status=200,
+            headers=(),
+            body=b"",
+            remaining_body=remaining,
+            body_bytes=LARGE_BYTES,
+        )
+        dispatcher = FakeDispatcher(answer)
+        host = Host(dispatcher)
+
+        async def echo():
+            while dispatcher.request is None:
+                await asyncio.sleep(0.01)
+            while chunk := await dispatcher.request.body.read():
+                await remaining.put(chunk)
+            remaining.finish()
+
+        async with host.running():
+            reader, writer = await host.connect()
+            echo_task = asyncio.create_task(echo())
+            sent = random.Random(1).randbytes(LARGE_BYTES)
+            writer.write(head_of("POST", LARGE_BYTES) + sent)
+            assert (await read_answer(reader))[2] == sent
+            await echo_task
+            writer.close()
+
+    play(scenario)
+
+
 def test_a_request_is_in_flight_until_its_answer_is_written():
     async def scenario():
         host = Host(FakeDispatcher(answer_of(bytes(LARGE_BYTES))))
