Shut down in order when a background task of a daemon ends

Callers saw their connections closed without an answer when a background task of their host failed: run_until raised the error at once, without the shutdown that waits for requests in flight. A task that ended without an error stopped the daemon with no line in the log.

run_until now logs which task ended and why, runs the shutdown, cancels the other tasks also if the shutdown fails, and then raises the error, so the exit code is as before. The fleet daemon closes its channels in any case.

--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -50,8 +50,10 @@
         daemon.host_settings.zone,
         ",".join(daemon.host_settings.roles),
     )
-    await lifecycle.run_until(stop, tasks, lambda: _stop(daemon))
-    _close(daemon)
+    try:
+        await lifecycle.run_until(stop, tasks, lambda: _stop(daemon))
+    finally:
+        _close(daemon)
     LOG.info("daemon: stopped")
 
 
--- a/src/goldcrestproxy/daemon/lifecycle.py
+++ b/src/goldcrestproxy/daemon/lifecycle.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 import typing as ty
 
+LOG = logging.getLogger(__name__)
+
 
 def stop_signal() -> asyncio.Event:
     """Return an event that SIGTERM and SIGINT set."""
@@ -23,15 +26,28 @@
 ) -> None:
     """Run tasks until ``stop`` is set, then shut down and cancel them.
 
-    If a task fails, its exception is raised without a shutdown.
+    The end of a task has the same effect as ``stop``. If a task failed, its
+    exception is raised after the shutdown.
     """
+    for task in tasks:
+        task.add_done_callback(_log_end)
     stop_task = asyncio.create_task(stop.wait())
     done, _ = await asyncio.wait(
         {stop_task, *tasks}, return_when=asyncio.FIRST_COMPLETED
     )
-    for task in done - {stop_task}:
-        task.result()
-    await shut_down()
-    for task in tasks:
-        task.cancel()
-    await asyncio.wait(tasks)
+    stop_task.cancel()
+    try:
+        await shut_down()
+    finally:
+        for task in tasks:
+            task.remove_done_callback(_log_end)
+            task.cancel()
+        await asyncio.wait(tasks)
+    for ended in done - {stop_task}:
+        ended.result()
+
+
+def _log_end(task: asyncio.Task[None]) -> None:
+    name = ty.cast(ty.Any, task.get_coro()).__qualname__
+    error = None if task.cancelled() else task.exception()
+    LOG.error("daemon: task %s ended unexpectedly", name, exc_info=error)
