Keep running whatever the settings file contains

A settings file with bytes that are not UTF-8, for example one that is read while a multi-byte character is half written, raised UnicodeDecodeError in the watch of the file, which ended the daemon; so did deep nesting (RecursionError) and a file that was missing when the watch started. Each unusable content was also reported every second.

The watch now compares bytes, treats an unreadable file as a content, takes every error of the validation as a reason to keep the current settings, and reports each content once and on each SIGHUP.

On the code before, the tests printed "UnicodeDecodeError: 'utf-8' codec can't decode bytes in position 60-61: unexpected end of data", 'RecursionError: maximum recursion depth exceeded', FileNotFoundError, and 'assert 22 == 3' for the number of warnings (15 to 23 among the contents).

--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -12,7 +12,6 @@
 from goldcrestproxy.daemon import fleet_composition
 from goldcrestproxy.daemon import lifecycle
 from goldcrestproxy.daemon import listening
-from goldcrestproxy import errors
 from goldcrestproxy import settings
 
 LOG = logging.getLogger(__name__)
@@ -68,29 +67,39 @@
 async def _watch_settings(file: pathlib.Path, reload: asyncio.Event) -> None:
     """Validate the settings file when it changes or ``reload`` is set.
 
-    Changes take effect only after a restart.
+    Changes take effect only after a restart. The file may be read while it
+    is being written, so no content of it is an error.
     """
-    current_text = file.read_text(encoding="utf-8")
+    current = seen = _content(file)
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
         reload_requested = reload.is_set()
         reload.clear()
+        previous, seen = seen, _content(file)
+        if seen == previous and not reload_requested:
+            continue
+        if seen == current:
+            LOG.info("daemon: settings file reloaded, unchanged")
+            continue
         try:
-            text = file.read_text(encoding="utf-8")
-            if text == current_text:
-                if reload_requested:
-                    LOG.info("daemon: settings file reloaded, unchanged")
-                continue
             settings.load_host_settings(file)
-        except (OSError, errors.SettingsError) as error:
+        except Exception as error:
             LOG.warning("daemon: keeping the current settings: %s", error)
             continue
-        current_text = text
+        current = seen
         LOG.info("daemon: settings changed; restart to apply the changes")
 
 
+def _content(file: pathlib.Path) -> bytes | None:
+    """Return the content of a file, None if it cannot be read."""
+    try:
+        return file.read_bytes()
+    except OSError:
+        return None
+
+
 async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
     """Stop without interrupting requests.
 
