Ignore signals while a daemon starts and after it has stopped

A SIGHUP that arrived before the daemon had installed its handlers, such as during the imports, ended the process by its default action. The same happened with SIGHUP and a second SIGTERM after the event loop had ended and restored the default actions: the last log lines were lost and the exit code of a planned stop was not 0.

SIGHUP is now ignored before the program imports its parts, and both are ignored while the last log lines are written. A second SIGTERM during the stop itself has no effect, as before; one before the handlers are installed ends the process, which has accepted no request by then.

On the code before, the tests printed 'assert -1 == 0' (SIGHUP, at the start and at the end) and 'assert -15 == 0' (SIGTERM at the end).

--- a/src/goldcrestproxy/daemon/__init__.py
+++ b/src/goldcrestproxy/daemon/__init__.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
-from goldcrestproxy.daemon.application import main
+import signal
 
 __all__ = ["main"]
+
+
+def main() -> int:
+    """Run a daemon; return its exit code."""
+    # A request to reload the settings must not end the process. The imports
+    # take long enough for one to arrive meanwhile.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from goldcrestproxy.daemon import application
+
+    return application.main()
--- a/src/goldcrestproxy/daemon/__main__.py
+++ b/src/goldcrestproxy/daemon/__main__.py
@@ -4,6 +4,6 @@
 
 import sys
 
-from goldcrestproxy.daemon.application import main
+from goldcrestproxy.daemon import main
 
 sys.exit(main())
--- a/src/goldcrestproxy/daemon/application.py
+++ b/src/goldcrestproxy/daemon/application.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import typing as ty
 
@@ -57,6 +58,10 @@
         print(f"goldcrestproxyd: {error}", file=sys.stderr)
         return EXIT_STORAGE
     finally:
+        # The end of the event loop restores the default actions of signals,
+        # which would end the process with other exit codes.
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            signal.signal(number, signal.SIG_IGN)
         if flush_logs is not None:
             flush_logs()
     return EXIT_OK
