Answer 502 when the leader did not answer a forwarded call

A control host that forwarded a call and got no answer, because the leader timed out or its channel closed, answered 503. That status promises that the call has no effect, but the leader may have committed it already.

It now answers 502, the status of an unknown outcome, which promises nothing. Refusals by the leader keep their own status.

On the code before, the tests printed 'assert 503 == 502' for a timeout and for a closed channel.

--- a/src/goldcrestproxy/platform/registrants.py
+++ b/src/goldcrestproxy/platform/registrants.py
@@ -20,7 +20,6 @@
 LOG = logging.getLogger(__name__)
 
 STATUS_INVALID: ty.Final = 400
-STATUS_UNAVAILABLE: ty.Final = 503
 
 
 class RegistrantHandler(web.RequestHandler):
@@ -57,7 +56,8 @@
             self._send_error(results.BY_CODE[error.code].status, error.text)
         except errors.WireError as error:
             LOG.info("platform: the leader did not answer: %s", error)
-            self._send_error(STATUS_UNAVAILABLE, str(error))
+            result = results.BY_CODE[results.OUTCOME_UNKNOWN]
+            self._send_error(result.status, str(error))
         else:
             self._respond(answer)
 
