Answer calls in flight before a control host stops

At SIGTERM a control host closed its channels and failed its proposals at once. With a change in flight at the leader, the operator got 502 or 500, also when the followers could commit it a moment later. A host that was stopped after it had forwarded a change answered 503, which promises that the change has no effect, although it had been sent to the leader.

A gate now counts the calls of targets and operators, and those that other control hosts forward. At SIGTERM the host stops listening and refuses new calls with 503 and 'Connection: close'; other control hosts get the refusal 'stopping', which they pass on as 503. Calls in flight get at most 1 s, more than the time-out of a forwarded call, and their answers are written before the connections are closed. Proposals without an outcome by then fail with 502. Without calls in flight the stop waits for nothing, so that a leader does not delay the election of the next one. A host that is also an entry host serves both roles until the stop of its entry role is over.

--- a/src/goldcrestproxy/callers/gate.py
+++ b/src/goldcrestproxy/callers/gate.py
@@ -1,4 +1,4 @@
-"""Admission of requests during a planned stop of an entry host."""
+"""Admission of requests during a planned stop of a host."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
         """
         if self._closed:
             raise results.refusal(
-                results.STOPPING, "this entry host is stopping", 100
+                results.STOPPING, "this host is stopping", 100
             )
         self.in_flight += 1
         self._empty.clear()
--- a/src/goldcrestproxy/control/replica.py
+++ b/src/goldcrestproxy/control/replica.py
@@ -166,7 +166,7 @@
             self.leader_host = ""
         self.role = Role.FOLLOWER
         self.stepped_down.notify()
-        self._fail_pending_proposals()
+        self.fail_pending_proposals()
         self.notify()
 
     def follow(self, leader_host: str) -> None:
@@ -280,10 +280,11 @@
 
     def close(self) -> None:
         """Fail the pending proposals and stop the storage thread."""
-        self._fail_pending_proposals()
+        self.fail_pending_proposals()
         self._executor.shutdown()
 
-    def _fail_pending_proposals(self) -> None:
+    def fail_pending_proposals(self) -> None:
+        """Raise ``ProposalLostError`` where proposals are awaited."""
         error = errors.ProposalLostError("leadership changed meanwhile")
         for future in self._pending_proposals.values():
             if not future.done():
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -58,7 +58,10 @@
 
 @attrs.frozen(kw_only=True)
 class FleetDaemon:
-    """Components of a daemon; ``entry`` and ``control_service`` by role."""
+    """Components of a daemon; ``entry`` and ``control_service`` by role.
+
+    ``control_gate`` counts the calls of targets and operators.
+    """
 
     host_settings: settings.HostSettings
     fleet_settings: settings.FleetSettings
@@ -68,6 +71,7 @@
     listeners: tuple[Listener, ...]
     entry: EntryComponents | None
     control_service: control.ControlService | None
+    control_gate: callers.Gate
 
 
 def compose(
@@ -96,13 +100,18 @@
     if host_settings.telemetry.metrics_port:
         listeners.append(_metrics_listener(host_settings, metrics))
     control_service = None
+    control_gate = callers.Gate()
     if "control" in host_settings.roles:
         control_service = _control_service(
             host_settings, fleet_settings, peers
         )
         control_service.add_handlers(handlers)
+        forward = handlers.calls[wire.Method.FORWARD]
+        handlers.calls[wire.Method.FORWARD] = _gated(forward, control_gate)
         listeners.append(
-            _registrant_listener(fleet_settings, control_service, metrics)
+            _registrant_listener(
+                fleet_settings, control_service, metrics, control_gate
+            )
         )
     entry = None
     if "entry" in host_settings.roles:
@@ -120,9 +129,23 @@
         listeners=tuple(listeners),
         entry=entry,
         control_service=control_service,
+        control_gate=control_gate,
     )
 
 
+def _gated(handler: wire.CallHandler, gate: callers.Gate) -> wire.CallHandler:
+    """Return a handler whose calls are counted and refused by a gate."""
+
+    async def serve(channel: wire.Channel, request: ty.Any) -> ty.Any:
+        gate.enter()
+        try:
+            return await handler(channel, request)
+        finally:
+            gate.leave()
+
+    return serve
+
+
 def _seeds(
     host_settings: settings.HostSettings,
     fleet_settings: settings.FleetSettings,
@@ -187,9 +210,12 @@
     fleet_settings: settings.FleetSettings,
     service: control.ControlService,
     metrics: telemetry.Metrics,
+    gate: callers.Gate,
 ) -> Listener:
     application = web.Application(
-        platform.registrant_routes(service, fleet_settings.zones, metrics)
+        platform.registrant_routes(
+            service, fleet_settings.zones, metrics, gate
+        )
     )
     return Listener(
         setting="fleet.registrants",
--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -9,6 +9,7 @@
 import signal
 import typing as ty
 
+from goldcrestproxy import control
 from goldcrestproxy.daemon import fleet_composition
 from goldcrestproxy.daemon import lifecycle
 from goldcrestproxy.daemon import listening
@@ -22,6 +23,11 @@
 # Part of stop_s that is reserved for the exit of the process.
 EXIT_RESERVE_S: ty.Final = 0.4
 SETTINGS_POLL_INTERVAL_S: ty.Final = 1.0
+# Longest time to wait for calls of targets and operators; it includes the
+# timeout of a call that is forwarded to the leader.
+CONTROL_CALLS_S: ty.Final = 1.0
+# Time after that for the answers to calls that are still in flight.
+CONTROL_LAST_ANSWERS_S: ty.Final = 0.1
 
 
 async def run(
@@ -50,7 +56,7 @@
         ",".join(daemon.host_settings.roles),
     )
     try:
-        await lifecycle.run_until(stop, tasks, lambda: _stop(daemon))
+        await lifecycle.run_until(stop, tasks, lambda: _stop_roles(daemon))
     finally:
         _close(daemon)
     LOG.info("daemon: stopped")
@@ -100,6 +106,16 @@
         return None
 
 
+async def _stop_roles(daemon: fleet_composition.FleetDaemon) -> None:
+    await _stop(daemon)
+    if daemon.control_service is None:
+        return
+    timeout_s = min(CONTROL_CALLS_S, daemon.fleet_settings.stop_s / 2)
+    if daemon.entry is not None:
+        timeout_s = EXIT_RESERVE_S / 4
+    await _stop_control(daemon, daemon.control_service, timeout_s)
+
+
 async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
     """Stop without interrupting requests.
 
@@ -127,6 +143,40 @@
             await _close_callers(daemon)
 
 
+async def _stop_control(
+    daemon: fleet_composition.FleetDaemon,
+    service: control.ControlService,
+    timeout_s: float,
+) -> None:
+    """Stop with an answer or a refusal for each call of the control role.
+
+    Calls that other control hosts have forwarded are included. A leader
+    keeps replicating, since changes in flight need it.
+    """
+    gate = daemon.control_gate
+    listeners = [
+        listener
+        for listener in daemon.listeners
+        if listener.setting == "fleet.registrants"
+    ]
+    for listener in listeners:
+        listener.server.stop()
+    gate.announce_stop()
+    gate.close()
+    LOG.info("daemon: waiting for %d control calls in flight", gate.in_flight)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await gate.wait_empty()
+    if gate.in_flight:
+        LOG.warning("daemon: ending %d control calls", gate.in_flight)
+        service.replica.fail_pending_proposals()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONTROL_LAST_ANSWERS_S):
+            await gate.wait_empty()
+            for listener in listeners:
+                await listener.server.close_all_connections()
+
+
 def _caller_listeners(
     daemon: fleet_composition.FleetDaemon,
 ) -> list[fleet_composition.Listener]:
--- a/src/goldcrestproxy/platform/registrants.py
+++ b/src/goldcrestproxy/platform/registrants.py
@@ -8,6 +8,7 @@
 
 from tornado import web
 
+from goldcrestproxy import callers
 from goldcrestproxy import control
 from goldcrestproxy import errors
 from goldcrestproxy.platform import configuration
@@ -25,12 +26,37 @@
 class RegistrantHandler(web.RequestHandler):
     """Base handler: decodes a call, forwards it and encodes the answer."""
 
+    _entered_gate = False
+
     def initialize(
-        self, service: control.ControlService, metrics: telemetry.Metrics
+        self,
+        service: control.ControlService,
+        metrics: telemetry.Metrics,
+        gate: callers.Gate,
     ) -> None:
-        """Set the control service and the metrics of this daemon."""
+        """Set the control service, metrics and gate of this daemon."""
         self._service = service
         self._metrics = metrics
+        self._gate = gate
+
+    def prepare(self) -> None:
+        """Count the call as in flight, or refuse it during a stop."""
+        try:
+            self._gate.enter()
+        except errors.RefusedError as error:
+            self._send_error(results.BY_CODE[error.code].status, error.text)
+        else:
+            self._entered_gate = True
+
+    def on_finish(self) -> None:
+        """Leave the gate once the answer has been written."""
+        if not self._entered_gate:
+            return
+        stream = ty.cast(ty.Any, self.request.connection).stream
+        if stream.closed():
+            self._gate.leave()
+        else:
+            stream.write(b"").add_done_callback(lambda _: self._gate.leave())
 
     async def _serve(self, decode: ty.Callable[[], registry.Call]) -> None:
         try:
@@ -83,6 +109,8 @@
 
     def _send_json(self, body: dict[str, ty.Any]) -> None:
         self.set_header("Content-Type", "application/json")
+        if not self._gate.ready:
+            self.set_header("Connection", "close")
         self.finish(json.dumps(body, separators=(",", ":")))
 
     def _send_error(self, status: int, text: str) -> None:
@@ -125,10 +153,11 @@
         self,
         service: control.ControlService,
         metrics: telemetry.Metrics,
+        gate: callers.Gate,
         zones: tuple[str, ...],
     ) -> None:
-        """Set the control service and the names of the valid zones."""
-        super().initialize(service, metrics)
+        """Set also the names of the valid zones."""
+        super().initialize(service, metrics, gate)
         self._zones = zones
 
     async def post(self, zone: str) -> None:
@@ -151,9 +180,10 @@
     service: control.ControlService,
     zones: tuple[str, ...],
     metrics: telemetry.Metrics,
+    gate: callers.Gate,
 ) -> list[ty.Any]:
     """Return the routes of the platform API on control hosts."""
-    shared = {"service": service, "metrics": metrics}
+    shared = {"service": service, "metrics": metrics, "gate": gate}
     return [
         (r"/goldcrestproxy/instances/([^/]+)", TargetHandler, shared),
         (r"/goldcrestproxy/config", ItemsHandler, shared),
--- a/src/goldcrestproxy/wire/__init__.py
+++ b/src/goldcrestproxy/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from goldcrestproxy.wire.channel import CallHandler
 from goldcrestproxy.wire.channel import Channel
 from goldcrestproxy.wire.channel import ChannelTiming
 from goldcrestproxy.wire.channel import Handlers
@@ -21,6 +22,7 @@
 from goldcrestproxy.wire.pipe import Pipe
 
 __all__ = [
+    "CallHandler",
     "Channel",
     "ChannelTiming",
     "Exchange",
