--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -9,10 +9,10 @@
 import signal
 import typing as ty
 
+from goldcrestproxy import control
 from goldcrestproxy.daemon import fleet_composition
 from goldcrestproxy.daemon import lifecycle
 from goldcrestproxy.daemon import listening
-from goldcrestproxy import errors
 from goldcrestproxy import settings
 
 LOG = logging.getLogger(__name__)
@@ -25,6 +25,11 @@
 # Time before that for the answers to requests that are still in flight.
 LAST_ANSWERS_S: ty.Final = 0.5
 SETTINGS_POLL_INTERVAL_S: ty.Final = 1.0
+# Longest time to wait for calls of targets and operators; it includes the
+# timeout of a call that is forwarded to the leader.
+CONTROL_CALLS_S: ty.Final = 1.0
+# Time after that for the answers to calls that are still in flight.
+CONTROL_LAST_ANSWERS_S: ty.Final = 0.1
 
 
 async def run(
@@ -52,8 +57,10 @@
         daemon.host_settings.zone,
         ",".join(daemon.host_settings.roles),
     )
-    await lifecycle.run_until(stop, tasks, lambda: _stop(daemon))
-    _close(daemon)
+    try:
+        await lifecycle.run_until(stop, tasks, lambda: _stop_roles(daemon))
+    finally:
+        _close(daemon)
     LOG.info("daemon: stopped")
 
 
@@ -68,29 +75,49 @@
 async def _watch_settings(file: pathlib.Path, reload: asyncio.Event) -> None:
     """Validate the settings file when it changes or ``reload`` is set.
 
-    Changes take effect only after a restart.
+    Changes take effect only after a restart. The file may be read while it
+    is being written, so no content of it is an error.
     """
-    current_text = file.read_text(encoding="utf-8")
+    current = seen = _content(file)
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
         reload_requested = reload.is_set()
         reload.clear()
+        previous, seen = seen, _content(file)
+        if seen == previous and not reload_requested:
+            continue
+        if seen == current:
+            LOG.info("daemon: settings file reloaded, unchanged")
+            continue
         try:
-            text = file.read_text(encoding="utf-8")
-            if text == current_text:
-                if reload_requested:
-                    LOG.info("daemon: settings file reloaded, unchanged")
-                continue
             settings.load_host_settings(file)
-        except (OSError, errors.SettingsError) as error:
+        except Exception as error:
             LOG.warning("daemon: keeping the current settings: %s", error)
             continue
-        current_text = text
+        current = seen
         LOG.info("daemon: settings changed; restart to apply the changes")
 
 
+def _content(file: pathlib.Path) -> bytes | None:
+    """Return the content of a file, None if it cannot be read."""
+    try:
+        return file.read_bytes()
+    except OSError:
+        return None
+
+
+async def _stop_roles(daemon: fleet_composition.FleetDaemon) -> None:
+    await _stop(daemon)
+    if daemon.control_service is None:
+        return
+    timeout_s = min(CONTROL_CALLS_S, daemon.fleet_settings.stop_s / 2)
+    if daemon.entry is not None:
+        timeout_s = EXIT_RESERVE_S / 4
+    await _stop_control(daemon, daemon.control_service, timeout_s)
+
+
 async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
     """Stop with an answer or a refusal for each request.
 
@@ -132,6 +159,40 @@
         LOG.warning("daemon: exit cuts %d requests", gate.in_flight)
 
 
+async def _stop_control(
+    daemon: fleet_composition.FleetDaemon,
+    service: control.ControlService,
+    timeout_s: float,
+) -> None:
+    """Stop with an answer or a refusal for each call of the control role.
+
+    Calls that other control hosts have forwarded are included. A leader
+    keeps replicating, since changes in flight need it.
+    """
+    gate = daemon.control_gate
+    listeners = [
+        listener
+        for listener in daemon.listeners
+        if listener.setting == "fleet.registrants"
+    ]
+    for listener in listeners:
+        listener.server.stop()
+    gate.announce_stop()
+    gate.close()
+    LOG.info("daemon: waiting for %d control calls in flight", gate.in_flight)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await gate.wait_empty()
+    if gate.in_flight:
+        LOG.warning("daemon: ending %d control calls", gate.in_flight)
+        service.replica.fail_pending_proposals()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONTROL_LAST_ANSWERS_S):
+            await gate.wait_empty()
+            for listener in listeners:
+                await listener.server.close_all_connections()
+
+
 def _caller_listeners(
     daemon: fleet_composition.FleetDaemon,
 ) -> list[fleet_composition.Listener]:
