Let transfers wait for a handle only until their deadlines

Callers got no answer and no refusal by their deadlines when all handles of an entry host (or of a target on the own interface) waited at targets that accept requests and never answer.

Cause: tornado's curl client queues requests beyond its handles without a time limit, and libcurl's time-out starts only once a request has a handle. A request in that queue could not be withdrawn either: after its caller had gone, it opened a connection when its turn came.

Transfers now queue in front of tornado's client. One that has no handle 15 ms before its deadline, or is cancelled, leaves the queue and fails as not sent. That is true: the request is given to tornado only with a handle. The time-out of a transfer that waited is what its deadline has left. Such a failure says nothing about the target, so it does not count against it. A timer is set only for a transfer that has to wait.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -204,7 +204,7 @@
         failure: fleet_retries.Failure,
         waited_ms: float,
     ) -> None:
-        if transfer.mismatched:
+        if transfer.mismatched or not transfer.started:
             return
         now_s = self._clock()
         match failure:
--- a/src/goldcrestproxy/targets/client.py
+++ b/src/goldcrestproxy/targets/client.py
@@ -6,10 +6,10 @@
 import contextlib
 import typing as ty
 
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import handles
 from goldcrestproxy.targets import protocol
 from goldcrestproxy.targets import transfer
 from goldcrestproxy.wire import Pipe
@@ -32,8 +32,8 @@
         self._address = address
         self._active_transfers = 0
         self._used_ports: set[int] = set()
-        self._request_client = _make_client(slots)
-        self._order_client = _make_client(ORDER_HANDLES)
+        self._request_client = handles.Handles(slots)
+        self._order_client = handles.Handles(ORDER_HANDLES)
 
     def start(
         self,
@@ -155,12 +155,3 @@
         if head.status != 200:
             raise errors.WireError(f"target answered {path}: {head.status}")
         return answer
-
-
-def _make_client(handles: int) -> curl_httpclient.CurlAsyncHTTPClient:
-    return ty.cast(
-        curl_httpclient.CurlAsyncHTTPClient,
-        curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=handles
-        ),
-    )
--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -6,10 +6,10 @@
 
 import attrs
 import pycurl
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from goldcrestproxy.routing import connect_timeout
+from goldcrestproxy.targets import handles
 from goldcrestproxy.targets import transfer
 from goldcrestproxy.wire import Pipe
 
@@ -44,12 +44,7 @@
     """
 
     def __init__(self) -> None:
-        self._client = ty.cast(
-            curl_httpclient.CurlAsyncHTTPClient,
-            curl_httpclient.CurlAsyncHTTPClient(
-                force_instance=True, max_clients=HANDLES_MAX
-            ),
-        )
+        self._handles = handles.Handles(HANDLES_MAX)
         self._used_ports: set[int] = set()
         self.adaptive_timeout = connect_timeout.ConnectTimeout()
 
@@ -80,7 +75,7 @@
             curl.setopt(pycurl.MAXAGE_CONN, max(1, outgoing.idle_s_max))
 
         return transfer.Transfer(
-            self._client,
+            self._handles,
             request,
             body=outgoing.body,
             body_bytes=outgoing.body_bytes,
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -18,10 +18,15 @@
 from tornado import httputil
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import handles as transfer_handles
 from goldcrestproxy.wire import Pipe
 
 CONNECTION_IDLE_S_MAX: ty.Final = 5
 CONNECT_TIMEOUT_MS: ty.Final = 250
+# A transfer that is still queued this long before its deadline is not sent:
+# its refusal can then reach the caller in time. Less than the time that a
+# retry needs.
+QUEUE_RESERVE_S: ty.Final = 0.015
 # Lower (1xx) statuses are interim: a final status follows.
 FINAL_STATUS_MIN: ty.Final = 200
 
@@ -70,7 +75,7 @@
 
     def __init__(
         self,
-        client: curl_httpclient.CurlAsyncHTTPClient,
+        handles: transfer_handles.Handles,
         request: httpclient.HTTPRequest,
         *,
         body: Pipe | None,
@@ -83,6 +88,9 @@
     ) -> None:
         """Prepare a request.
 
+        Its ``request_timeout`` starts now and includes the time in the queue
+        for a handle.
+
         :param body: the request body, or None
         :param body_bytes: length of the body, -1 if unknown
         :param new_connection: do not reuse a connection
@@ -102,10 +110,15 @@
         self.answer_body = Pipe()
         self.stage = Stage.NOT_SENT
         self.reused = False
+        # Whether it got a handle.
+        self.started = False
         # Time from the start until the connection was established.
         self.connect_s = 0.0
         self._started_s = time.monotonic()
-        self._client = client
+        timeout_s = ty.cast(float, request.request_timeout)
+        self._deadline_s = self._started_s + timeout_s
+        self._handles = handles
+        self._turn: asyncio.Future[None] | None = None
         self._request = request
         self._body = body
         self._body_bytes = body_bytes
@@ -126,9 +139,12 @@
         Sets ``head`` and ``answer_body`` to the answer, or to a TransferError.
         """
         self._request.prepare_curl_callback = self._configure_curl
+        if not await self._take_handle():
+            self._fail(0, "cancelled, or no handle became free in time")
+            return
+        self.started = True
         try:
-            # Still raises libcurl's errors, but none for an error status.
-            await self._client.fetch(self._request, raise_error=False)
+            await self._handles.fetch(self._request)
         except curl_httpclient.CurlError as error:
             self._fail(error.errno, str(error.message))
             return
@@ -143,12 +159,36 @@
     def cancel(self) -> None:
         """Abort the transfer and close its connection."""
         self._cancelled = True
+        if self._turn is not None:
+            self._turn.cancel()
         if self._curl is not None:
             # Pausing and unpausing makes libcurl run its progress callback,
             # which aborts the transfer.
             self._pause(pycurl.PAUSE_ALL)
             self._pause(pycurl.PAUSE_CONT)
 
+    async def _take_handle(self) -> bool:
+        """Take a handle; return False if cancelled or too late for it."""
+        if self._cancelled:
+            return False
+        turn = self._turn = self._handles.take()
+        if turn.done():
+            return True
+        await asyncio.wait([turn], timeout=self._left_s() - QUEUE_RESERVE_S)
+        if not turn.done():
+            turn.cancel()
+        if turn.cancelled():
+            return False
+        left_s = self._left_s()
+        if self._cancelled or left_s < QUEUE_RESERVE_S:
+            self._handles.give_back()
+            return False
+        self._request.request_timeout = left_s
+        return True
+
+    def _left_s(self) -> float:
+        return self._deadline_s - time.monotonic()
+
     def _fail(self, code: int, text: str) -> None:
         error = TransferError(self.stage, code, text)
         if not self.head.done():
--- /dev/null
+++ b/tests/entries/test_sending.py
@@ -0,0 +1,150 @@
+"""A single attempt ends by its deadline and tells whether it may have run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import attrs
+import pytest
+import raw_server
+
+from goldcrestproxy.control import observations
+from goldcrestproxy import entries
+from goldcrestproxy.entries import fleet_map
+from goldcrestproxy.entries import replay
+from goldcrestproxy.entries import sending
+from goldcrestproxy import platform
+from goldcrestproxy import registry
+from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import target_choice
+from goldcrestproxy import targets
+from goldcrestproxy.targets import shared_client
+from goldcrestproxy.targets import transfer
+
+REQUEST = entries.FleetRequest(
+    request_id="r1",
+    method="GET",
+    host="a.example",
+    request_target="/x/1",
+    headers=(("Attempt-Id", "r1"),),
+    key=None,
+    body=None,
+    body_bytes=0,
+    deadline_ms=None,
+)
+
+
+@attrs.frozen
+class Attempts:
+    """Sends attempts to a raw server through a real client."""
+
+    server: raw_server.RawServer
+    client: targets.SharedClient
+    sender: entries.Sender
+    target: fleet_map.TrackedTarget
+
+    async def send(self, left_s, request=REQUEST):
+        return await self.sender.send(
+            request,
+            replay.ReplayableBody(request.body),
+            self.target,
+            idempotent=False,
+            deadline_s=time.monotonic() + left_s,
+            on_sent=lambda _: None,
+        )
+
+    async def failure(self, left_s, request=REQUEST):
+        """Return the failure of an attempt, which ends by its deadline."""
+        async with asyncio.timeout(left_s + 0.5):
+            with pytest.raises(sending.SendError) as caught:
+                await self.send(left_s, request)
+        return caught.value.failure
+
+
+def run(respond, scenario, conventions=None):
+    async def run_scenario():
+        server = raw_server.RawServer(respond)
+        async with server.running() as address:
+            client = targets.SharedClient()
+            target = fleet_map.TrackedTarget(
+                record=registry.RegisteredTarget(
+                    target="t1",
+                    incarnation=1,
+                    service="s",
+                    zone="zone-a",
+                    address=address,
+                    slots=4,
+                ),
+                stats=target_choice.TargetStats(slots=4),
+                rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+            )
+            sender = entries.Sender(
+                client,
+                conventions or platform.PlatformHeaders(),
+                observations.Observations(),
+                time.monotonic,
+            )
+            await scenario(Attempts(server, client, sender, target))
+
+    asyncio.run(run_scenario())
+
+
+async def no_answer(server, number, reader, writer):
+    await asyncio.sleep(30)
+    return False
+
+
+@pytest.fixture
+def single_handle(monkeypatch):
+    """Let each client have one handle only."""
+    monkeypatch.setattr(shared_client, "HANDLES_MAX", 1)
+
+
+@contextlib.asynccontextmanager
+async def silent_request(attempts):
+    """Keep the only handle in use by a request without an answer."""
+    task = asyncio.create_task(attempts.send(20))
+    await asyncio.sleep(0.05)
+    try:
+        yield task
+    finally:
+        task.cancel()
+        await asyncio.wait([task])
+
+
+def test_request_without_a_handle_is_not_run_before_its_deadline(
+    single_handle, monkeypatch
+):
+    monkeypatch.setattr(transfer, "QUEUE_RESERVE_S", 0.2)
+
+    async def scenario(attempts):
+        async with silent_request(attempts):
+            started_s = time.monotonic()
+            match await attempts.failure(0.5):
+                case fleet_retries.NotRun():
+                    pass
+                case failure:
+                    pytest.fail(f"{failure} instead of not run")
+            # The caller still has to receive the refusal.
+            assert time.monotonic() - started_s < 0.5
+        await asyncio.sleep(0.05)
+        assert len(attempts.server.requests) == 1
+
+    run(no_answer, scenario)
+
+
+def test_target_is_not_blamed_for_a_request_without_a_handle(single_handle):
+    async def scenario(attempts):
+        timeout_ms = attempts.client.adaptive_timeout.timeout_ms
+        async with silent_request(attempts):
+            for _ in range(target_choice.FAILURES_MAX):
+                await attempts.failure(0.1)
+            now_s = time.monotonic()
+            assert not attempts.target.stats.is_backing_off(now_s)
+            assert attempts.target.stats.in_flight == 1
+        assert attempts.client.adaptive_timeout.timeout_ms == timeout_ms
+
+    run(no_answer, scenario)
--- /dev/null
+++ b/tests/targets/test_transfer_queue.py
@@ -0,0 +1,163 @@
+"""Transfers that wait for a handle end by their deadlines, unsent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+import raw_server
+
+from goldcrestproxy import targets
+
+
+async def no_answer(server, number, reader, writer):
+    await asyncio.sleep(30)
+    return False
+
+
+async def answer_if_second(server, number, reader, writer):
+    """Stay silent on the first connection, answer on the others."""
+    if number == 1:
+        return await no_answer(server, number, reader, writer)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    await writer.drain()
+    return True
+
+
+def start(client, timeout_ms, may_send=lambda: True):
+    transfer = client.start(
+        "GET",
+        "/work",
+        {},
+        body=None,
+        body_bytes=0,
+        timeout_ms=timeout_ms,
+        new_connection=False,
+        may_send=may_send,
+    )
+    return transfer, asyncio.create_task(transfer.run())
+
+
+async def failure_of(transfer, task):
+    """Return the error of a transfer that must end within a second."""
+    async with asyncio.timeout(1):
+        await task
+    with pytest.raises(targets.TransferError) as found:
+        await transfer.head
+    return found.value
+
+
+def run(respond, scenario):
+    """Run a test with a client that has a single handle."""
+
+    async def run_scenario():
+        server = raw_server.RawServer(respond)
+        async with server.running() as address:
+            client = targets.TargetClient(address, 1)
+            try:
+                await scenario(server, client)
+            finally:
+                await client.close()
+
+    asyncio.run(run_scenario())
+
+
+def test_transfer_without_a_handle_fails_unsent_by_its_deadline():
+    async def scenario(server, client):
+        silent, silent_task = start(client, 20_000)
+        transfer, task = start(client, 200)
+        error = await failure_of(transfer, task)
+        assert error.stage is targets.Stage.NOT_SENT
+        assert not error.timed_out
+        # A handle that becomes free afterwards must not send it.
+        silent.cancel()
+        await silent_task
+        await asyncio.sleep(0.05)
+        assert len(server.requests) == server.connections == 1
+
+    run(no_answer, scenario)
+
+
+def test_transfer_cancelled_without_a_handle_opens_no_connection():
+    async def scenario(server, client):
+        silent, silent_task = start(client, 20_000)
+        transfer, task = start(client, 20_000)
+        await asyncio.sleep(0.05)
+        transfer.cancel()
+        error = await failure_of(transfer, task)
+        assert error.stage is targets.Stage.NOT_SENT
+        silent.cancel()
+        await silent_task
+        await asyncio.sleep(0.05)
+        assert server.connections == 1
+
+    run(no_answer, scenario)
+
+
+def test_transfer_cancelled_before_its_start_opens_no_connection():
+    async def scenario(server, client):
+        transfer, task = start(client, 20_000)
+        transfer.cancel()
+        error = await failure_of(transfer, task)
+        assert error.stage is targets.Stage.NOT_SENT
+        await asyncio.sleep(0.05)
+        assert server.connections == 0
+
+    run(no_answer, scenario)
+
+
+def test_time_in_the_queue_counts_towards_the_timeout():
+    async def scenario(server, client):
+        started_s = time.monotonic()
+        _, first_task = start(client, 400)
+        second, second_task = start(client, 700)
+        await first_task
+        error = await failure_of(second, second_task)
+        assert error.stage is targets.Stage.SENT
+        assert error.timed_out
+        assert 0.65 < time.monotonic() - started_s < 1.0
+
+    run(no_answer, scenario)
+
+
+def test_queued_transfers_are_sent_in_order_once_a_handle_is_free():
+    order = []
+
+    async def scenario(server, client):
+        silent, silent_task = start(client, 20_000)
+        queued = [
+            start(client, 5_000, lambda n=n: order.append(n) or True)
+            for n in range(5)
+        ]
+        await asyncio.sleep(0.05)
+        queued[2][0].cancel()
+        silent.cancel()
+        async with asyncio.timeout(1):
+            await asyncio.gather(silent_task, *(task for _, task in queued))
+        assert order == [0, 1, 3, 4]
+
+    run(answer_if_second, scenario)
+
+
+def test_handle_is_free_again_after_a_request_that_cannot_be_sent():
+    async def scenario(server, client):
+        bad = client.start(
+            "GET",
+            "/work",
+            {"X-Name": "two\nlines"},
+            body=None,
+            body_bytes=0,
+            timeout_ms=500,
+            new_connection=False,
+            may_send=lambda: True,
+        )
+        error = await failure_of(bad, asyncio.create_task(bad.run()))
+        assert error.stage is targets.Stage.NOT_SENT
+        _, task = start(client, 500)
+        async with asyncio.timeout(0.3):
+            while not server.requests:
+                await asyncio.sleep(0.01)
+        await task
+
+    run(no_answer, scenario)
