State the time left after the queue in the deadline header

Targets were told that a caller waits longer than it does when a request had to wait for a handle: the header was written before the queue.

Evidence before the change: a request with 1000 ms that waited 500 ms reached the target with Deadline-Ms 999 (assert 999 <= 500), and on the own interface one with 700 ms that waited 400 ms with 700 (assert 700 <= 310).

The header is now rewritten when a transfer that waited gets its handle, if the request has the header at all.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -110,6 +110,7 @@
                     self._conventions.request_id_header,
                     request.request_id,
                 ),
+                deadline_header=self._conventions.deadline_header,
             ),
             may_send,
         )
--- a/src/goldcrestproxy/platform/conventions.py
+++ b/src/goldcrestproxy/platform/conventions.py
@@ -49,6 +49,7 @@
     """Header conventions of the platform; see ``HeaderConventions``."""
 
     request_id_header = REQUEST_ID
+    deadline_header = DEADLINE_MS
 
     def request_headers(
         self,
--- a/src/goldcrestproxy/targets/client.py
+++ b/src/goldcrestproxy/targets/client.py
@@ -66,6 +66,7 @@
             new_connection=new_connection,
             used_ports=self._used_ports,
             may_send=may_send,
+            deadline_header=protocol.DEADLINE_MS,
         )
 
     async def send_order(
--- a/src/goldcrestproxy/targets/conventions.py
+++ b/src/goldcrestproxy/targets/conventions.py
@@ -17,6 +17,7 @@
     """Builds request headers and reads answer headers of targets."""
 
     request_id_header: str
+    deadline_header: str
 
     def request_headers(
         self,
--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -23,7 +23,8 @@
 
     ``body_bytes`` is -1 if the length is unknown. ``idle_s_max`` is how long
     a reused connection may have been idle; 0 requires a new connection.
-    ``expected_header`` is a header and the value that the answer must carry.
+    ``expected_header`` is a header and the value that the answer must carry,
+    ``deadline_header`` the header with the milliseconds left.
     """
 
     address: str
@@ -35,6 +36,7 @@
     timeout_ms: int
     idle_s_max: int
     expected_header: tuple[str, str]
+    deadline_header: str
 
 
 class SharedClient:
@@ -84,4 +86,5 @@
             may_send=may_send,
             configure=configure,
             expected_header=outgoing.expected_header,
+            deadline_header=outgoing.deadline_header,
         )
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -85,6 +85,7 @@
         may_send: ty.Callable[[], bool],
         configure: ty.Callable[[pycurl.Curl], None] | None = None,
         expected_header: tuple[str, str] | None = None,
+        deadline_header: str | None = None,
     ) -> None:
         """Prepare a request.
 
@@ -100,9 +101,12 @@
         :param configure: sets further options of the libcurl handle
         :param expected_header: a header and the value that the answer must
             carry; an answer without it belongs to another request
+        :param deadline_header: the request header, if it has one, that holds
+            the milliseconds left
         """
         self._configure_more = configure
         self._expected_header = expected_header
+        self._deadline_header = deadline_header
         self.mismatched = False
         self.head: asyncio.Future[AnswerHead] = (
             asyncio.get_running_loop().create_future()
@@ -184,6 +188,9 @@
             self._handles.give_back()
             return False
         self._request.request_timeout = left_s
+        header = self._deadline_header
+        if header is not None and header in self._request.headers:
+            self._request.headers[header] = str(int(left_s * 1000))
         return True
 
     def _left_s(self) -> float:
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import time
 
 import attrs
@@ -148,3 +149,16 @@
         assert attempts.client.adaptive_timeout.timeout_ms == timeout_ms
 
     run(no_answer, scenario)
+
+
+def test_target_gets_the_time_that_is_left_after_the_queue(single_handle):
+    async def scenario(attempts):
+        async with silent_request(attempts) as silent:
+            queued = asyncio.create_task(attempts.failure(1.0))
+            await asyncio.sleep(0.5)
+            silent.cancel()
+            await queued
+        sent = re.search(rb"Deadline-Ms: (\d+)", attempts.server.requests[1])
+        assert 300 < int(sent.group(1)) <= 500
+
+    run(no_answer, scenario)
--- a/tests/targets/test_transfer_queue.py
+++ b/tests/targets/test_transfer_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 
 import pytest
@@ -25,11 +26,11 @@
     return True
 
 
-def start(client, timeout_ms, may_send=lambda: True):
+def start(client, timeout_ms, may_send=lambda: True, headers=None):
     transfer = client.start(
         "GET",
         "/work",
-        {},
+        headers or {},
         body=None,
         body_bytes=0,
         timeout_ms=timeout_ms,
@@ -121,6 +122,18 @@
     run(no_answer, scenario)
 
 
+def test_queued_transfer_states_the_time_that_is_left():
+    async def scenario(server, client):
+        _, first_task = start(client, 400)
+        headers = {"Goldcrest-Deadline-Ms": "700"}
+        _, second_task = start(client, 700, headers=headers)
+        await asyncio.gather(first_task, second_task)
+        sent = re.search(rb"Deadline-Ms: (\d+)", server.requests[1])
+        assert 100 < int(sent.group(1)) <= 310
+
+    run(no_answer, scenario)
+
+
 def test_queued_transfers_are_sent_in_order_once_a_handle_is_free():
     order = []
 
