Do not count the time in the queue as time of the target

A target whose request had to wait for a handle appeared slow, so that later requests were shed or sent elsewhere, and connecting appeared slow, which lengthens the time-out of all connections.

Evidence before the change: test_time_in_the_queue_is_not_counted_as_time_of_ the_target printed a work time of 703 ms for a target that answered at once after 700 ms in the queue (assert 703.05 < 300).

The time in the queue is now measured and left out of both.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -127,8 +127,10 @@
             failure = _failure_of(transfer, error)
             if error.timed_out and error.stage is targets.Stage.NOT_SENT:
                 adaptive_timeout.record_timeout()
-            waited_ms = (self._clock() - started_s) * 1000
-            self._record_failure(transfer, target, request, failure, waited_ms)
+            waited_s = self._clock() - started_s - transfer.queued_s
+            self._record_failure(
+                transfer, target, request, failure, waited_s * 1000
+            )
             raise SendError(failure) from error
         except asyncio.CancelledError:
             transfer.cancel()
@@ -173,7 +175,7 @@
                     and metadata.load.running >= metadata.load.slots,
                 )
             )
-        duration_ms = (now_s - started_s) * 1000
+        duration_ms = (now_s - started_s - transfer.queued_s) * 1000
         target.stats.record_answer(duration_ms)
         self._observations.record_answer(
             target.name, target.record.incarnation, duration_ms, metadata.load
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -116,7 +116,9 @@
         self.reused = False
         # Whether it got a handle.
         self.started = False
-        # Time from the start until the connection was established.
+        # Time in the queue for a handle.
+        self.queued_s = 0.0
+        # Time from then until the connection was established.
         self.connect_s = 0.0
         self._started_s = time.monotonic()
         timeout_s = ty.cast(float, request.request_timeout)
@@ -187,6 +189,7 @@
         if self._cancelled or left_s < QUEUE_RESERVE_S:
             self._handles.give_back()
             return False
+        self.queued_s = time.monotonic() - self._started_s
         self._request.request_timeout = left_s
         header = self._deadline_header
         if header is not None and header in self._request.headers:
@@ -235,7 +238,8 @@
     ) -> int:
         if self.stage is not Stage.NOT_SENT or self._cancelled:
             return pycurl.PREREQFUNC_ABORT
-        self.connect_s = time.monotonic() - self._started_s
+        elapsed_s = time.monotonic() - self._started_s
+        self.connect_s = elapsed_s - self.queued_s
         self.reused = local_port in self._used_ports
         self._used_ports.add(local_port)
         if not self._may_send():
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -98,6 +98,15 @@
     return False
 
 
+def answering(raw_answer):
+    async def respond(server, number, reader, writer):
+        writer.write(raw_answer)
+        await writer.drain()
+        return True
+
+    return respond
+
+
 @pytest.fixture
 def single_handle(monkeypatch):
     """Let each client have one handle only."""
@@ -162,3 +171,28 @@
         assert 300 < int(sent.group(1)) <= 500
 
     run(no_answer, scenario)
+
+
+def test_time_in_the_queue_is_not_counted_as_time_of_the_target(
+    single_handle,
+):
+    raw_answer = (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+    )
+
+    async def respond(server, number, reader, writer):
+        if number == 1:
+            return await no_answer(server, number, reader, writer)
+        return await answering(raw_answer)(server, number, reader, writer)
+
+    async def scenario(attempts):
+        timeout_ms = attempts.client.adaptive_timeout.timeout_ms
+        async with silent_request(attempts) as silent:
+            queued = asyncio.create_task(attempts.send(2.0))
+            await asyncio.sleep(0.7)
+            silent.cancel()
+            assert (await queued).status == 200
+        assert attempts.target.stats.work_ms < 300
+        assert attempts.client.adaptive_timeout.timeout_ms == timeout_ms
+
+    run(respond, scenario)
