Test that transfers at targets that fall silent end by their deadlines

Covers uploads that pause, early answers, answers that stop or that nobody reads, interim answers, and unreadable bytes in place of an answer.

--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -24,6 +24,7 @@
 from goldcrestproxy import targets
 from goldcrestproxy.targets import shared_client
 from goldcrestproxy.targets import transfer
+from goldcrestproxy import wire
 
 REQUEST = entries.FleetRequest(
     request_id="r1",
@@ -196,3 +197,65 @@
         assert attempts.client.adaptive_timeout.timeout_ms == timeout_ms
 
     run(respond, scenario)
+
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+
+
+def assert_may_have_run(failure, *, timed_out):
+    match failure:
+        case fleet_retries.MaybeRun():
+            assert failure.timed_out is timed_out
+        case _:
+            pytest.fail(f"{failure} instead of may have run")
+
+
+@pytest.mark.parametrize(
+    "raw_answer",
+    [
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        OK_HEAD + b"Content-Length: 100\r\n\r\nhalf",
+        OK_HEAD + b"Content-Length: 70000\r\n\r\n" + bytes(60_000),
+    ],
+)
+def test_target_that_falls_silent_means_may_have_run(raw_answer):
+    async def scenario(attempts):
+        assert_may_have_run(await attempts.failure(0.3), timed_out=True)
+        assert attempts.target.stats.in_flight == 0
+
+    run(answering(raw_answer), scenario)
+
+
+def test_garbage_instead_of_an_answer_means_may_have_run():
+    async def scenario(attempts):
+        assert_may_have_run(await attempts.failure(1.0), timed_out=False)
+
+    run(answering(b"\x00\xff garbage\r\n\r\n"), scenario)
+
+
+def test_upload_that_pauses_ends_by_the_deadline():
+    async def scenario(attempts):
+        body = wire.Pipe()
+        body.feed(b"half")
+        upload = attrs.evolve(
+            REQUEST, method="POST", body=body, body_bytes=100
+        )
+        failure = await attempts.failure(0.3, upload)
+        assert_may_have_run(failure, timed_out=True)
+
+    run(no_answer, scenario)
+
+
+def test_large_answer_that_stops_is_incomplete_by_the_deadline():
+    raw_answer = OK_HEAD + b"Content-Length: 200000\r\n\r\n" + bytes(100_000)
+
+    async def scenario(attempts):
+        answer = await attempts.send(0.5)
+        async with asyncio.timeout(1.0):
+            with pytest.raises(targets.TransferError):
+                await answer.remaining_body.read_all(200_000)
+        await asyncio.sleep(0)
+        assert attempts.target.stats.in_flight == 0
+
+    run(answering(raw_answer), scenario)
