Abort answers whose status does not have three digits

Callers got a status line that is not valid HTTP, such as 99999, because libcurl accepts it and reads only its first digits.

Evidence before the change: test_unreadable_answer_ends_as_sent printed "DID NOT RAISE TransferError" for the statuses 99999 and 2000.

The transfer is now aborted as sent, like every other unreadable answer.

--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -29,6 +29,7 @@
 QUEUE_RESERVE_S: ty.Final = 0.015
 # Lower (1xx) statuses are interim: a final status follows.
 FINAL_STATUS_MIN: ty.Final = 200
+STATUS_DIGITS: ty.Final = 3
 
 
 class Stage(enum.Enum):
@@ -254,7 +255,11 @@
         text = line.decode("latin1").rstrip("\r\n")
         if text.startswith("HTTP/"):
             self._headers.clear()
-            self._status = int(text.split(" ", 2)[1])
+            status = text.split(" ", 2)[1]
+            if len(status) != STATUS_DIGITS:
+                # libcurl reads only the first digits. Abort, see below.
+                return -1
+            self._status = int(status)
         elif text:
             self._headers.parse_line(text)
         elif not self._is_expected_answer():
--- a/tests/targets/test_silent_targets.py
+++ b/tests/targets/test_silent_targets.py
@@ -182,6 +182,8 @@
         b"HTTP/1.1 abc OK\r\n\r\n",
         b"HTTP/1.1 2\xb20 OK\r\n\r\n",
         b"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 99999 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
         b"HTTP/1.1 200 OK\r\n folded: x\r\n\r\n",
