Report an answer that cannot be handled as an attempt that may have run

An exception of another kind than a transfer's, for example from reading the headers of an answer, left Sender.send as it was: the dispatcher did not retry an idempotent request and forgot the failures of other attempts, the caller got 500, and the transfer kept its handle until the deadline.

The transfer is now cancelled and the attempt fails with what its stage says: may have run once it was sent. It cannot be sent after it was cancelled, so "not run" is true for one that was not sent.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import typing as ty
 
 import pycurl
@@ -16,6 +17,8 @@
 from goldcrestproxy import targets
 from goldcrestproxy import wire
 
+LOG = logging.getLogger(__name__)
+
 # Answers up to this size are buffered whole before any byte is forwarded, so
 # that a request whose answer breaks off can be retried.
 BUFFERED_ANSWER_BYTES_MAX: ty.Final = 64 * 1024
@@ -135,6 +138,14 @@
         except asyncio.CancelledError:
             transfer.cancel()
             raise
+        except SendError:
+            raise
+        except Exception as error:
+            # A cancelled transfer is not sent later, so its stage is final.
+            transfer.cancel()
+            LOG.exception("entries: an answer of %s is unusable", target.name)
+            unusable = targets.TransferError(transfer.stage, 0, repr(error))
+            raise SendError(_failure_of(transfer, unusable)) from error
         finally:
             if answer is not None and answer.remaining_body is not None:
                 transfer_task.add_done_callback(
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -202,6 +202,13 @@
 OK_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
 
 
+class FailingHeaders(platform.PlatformHeaders):
+    """Conventions with a fault that appears once there is an answer."""
+
+    def read_metadata(self, status, headers):
+        raise ValueError("unexpected")
+
+
 def assert_may_have_run(failure, *, timed_out):
     match failure:
         case fleet_retries.MaybeRun():
@@ -210,6 +217,18 @@
             pytest.fail(f"{failure} instead of may have run")
 
 
+def test_answer_that_cannot_be_handled_means_may_have_run(single_handle):
+    raw_answer = OK_HEAD + b"Content-Length: 200000\r\n\r\n" + bytes(100_000)
+
+    async def scenario(attempts):
+        for _ in range(2):
+            # The second attempt needs the handle of the first.
+            assert_may_have_run(await attempts.failure(0.5), timed_out=False)
+        assert attempts.target.stats.in_flight == 0
+
+    run(answering(raw_answer), scenario, FailingHeaders())
+
+
 @pytest.mark.parametrize(
     "raw_answer",
     [
