Cancel the transfer of an attempt whose answer is not used

A target's "not run" with a body of more than 64 KiB kept its handle until the deadline of the request, because nobody read the rest. Other requests then waited for that handle.

Evidence before the change, with one handle: the second attempt of test_large_answer_of_a_target_that_did_not_run_it_is_not_awaited failed with "no handle became free in time".

Sender.send now cancels the transfer whenever it returns no answer. This does nothing to a transfer that has ended, so its connection stays in use.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -135,9 +135,6 @@
                 transfer, target, request, failure, waited_s * 1000
             )
             raise SendError(failure) from error
-        except asyncio.CancelledError:
-            transfer.cancel()
-            raise
         except SendError:
             raise
         except Exception as error:
@@ -147,6 +144,8 @@
             unusable = targets.TransferError(transfer.stage, 0, repr(error))
             raise SendError(_failure_of(transfer, unusable)) from error
         finally:
+            if answer is None:
+                transfer.cancel()
             if answer is not None and answer.remaining_body is not None:
                 transfer_task.add_done_callback(
                     lambda _: target.stats.record_end()
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -229,6 +229,25 @@
     run(answering(raw_answer), scenario, FailingHeaders())
 
 
+def test_large_answer_of_a_target_that_did_not_run_it_is_not_awaited(
+    single_handle,
+):
+    raw_answer = (
+        b"HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\n"
+        b"Content-Length: 200000\r\n\r\n"
+    ) + bytes(100_000)
+
+    async def scenario(attempts):
+        for _ in range(2):
+            match await attempts.failure(0.5):
+                case fleet_retries.NotRun(refused=True):
+                    pass
+                case failure:
+                    pytest.fail(f"{failure} instead of refused")
+
+    run(answering(raw_answer), scenario)
+
+
 @pytest.mark.parametrize(
     "raw_answer",
     [
