Keep answers with a load report or length too long to read

A whole answer was lost, and its request reported as one that may have run, when a target's load report or Content-Length had more than 4300 digits: Python refuses to convert them. libcurl ignores such a length.

A load report with more than 9 digits in a field counts as malformed, and a Content-Length of more than 19 digits as unknown.

--- a/src/goldcrestproxy/platform/conventions.py
+++ b/src/goldcrestproxy/platform/conventions.py
@@ -42,7 +42,9 @@
 )
 # libcurl adds these headers unless the request sets them.
 _CURL_DEFAULT_HEADERS: ty.Final = ("Accept", "User-Agent")
-_LOAD_PATTERN: ty.Final = re.compile(r"\s*(\d+),(\d+),(\d+)(?:,(\d+))?\s*")
+_LOAD_PATTERN: ty.Final = re.compile(
+    r"\s*(\d{1,9}),(\d{1,9}),(\d{1,9})(?:,(\d{1,9}))?\s*"
+)
 
 
 class PlatformHeaders:
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -30,6 +30,8 @@
 # Lower (1xx) statuses are interim: a final status follows.
 FINAL_STATUS_MIN: ty.Final = 200
 STATUS_DIGITS: ty.Final = 3
+# Covers every length that libcurl accepts.
+LENGTH_DIGITS_MAX: ty.Final = 19
 
 
 class Stage(enum.Enum):
@@ -68,7 +70,9 @@
         if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
             return -1
         length = self.headers.get("Content-Length", "")
-        return int(length) if length.isdigit() else None
+        if not length.isdecimal() or len(length) > LENGTH_DIGITS_MAX:
+            return None
+        return int(length)
 
 
 class Transfer:
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -248,6 +248,26 @@
     run(answering(raw_answer), scenario)
 
 
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Server-Load: " + b"9" * 5000 + b",1,1\r\nContent-Length: 2\r\n",
+        b"Content-Length: " + b"9" * 5000 + b"\r\nConnection: close\r\n",
+    ],
+)
+def test_numbers_too_long_to_read_do_not_lose_the_answer(header):
+    async def respond(server, number, reader, writer):
+        writer.write(OK_HEAD + header + b"\r\nok")
+        await writer.drain()
+        return False
+
+    async def scenario(attempts):
+        answer = await attempts.send(1.0)
+        assert (answer.status, answer.body) == (200, b"ok")
+
+    run(respond, scenario)
+
+
 @pytest.mark.parametrize(
     "raw_answer",
     [
