Let an ended transfer leave the handle of the next one alone

tornado hands the handle of an ended transfer out before the transfer's task runs again. In between, cancelling or unpausing the ended transfer paused the handle for the next one, which could stay paused until its deadline. No caller is known to have seen it; it was found by reading.

The future of the fetch is done as soon as the transfer has ended, so pauses are skipped from then on.

--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -130,6 +130,7 @@
         self._deadline_s = self._started_s + timeout_s
         self._handles = handles
         self._turn: asyncio.Future[None] | None = None
+        self._fetched: asyncio.Future[httpclient.HTTPResponse] | None = None
         self._request = request
         self._body = body
         self._body_bytes = body_bytes
@@ -155,7 +156,8 @@
             return
         self.started = True
         try:
-            await self._handles.fetch(self._request)
+            self._fetched = self._handles.fetch(self._request)
+            await self._fetched
         except curl_httpclient.CurlError as error:
             self._fail(error.errno, str(error.message))
             return
@@ -328,6 +330,9 @@
     def _pause(self, flags: int) -> None:
         if self._curl is None:
             return
+        if self._fetched is not None and self._fetched.done():
+            # Another transfer may use the handle already.
+            return
         try:
             self._curl.pause(flags)
         except pycurl.error:
--- a/tests/targets/test_transfer_queue.py
+++ b/tests/targets/test_transfer_queue.py
@@ -8,6 +8,7 @@
 
 import pytest
 import raw_server
+from tornado import httpclient
 
 from goldcrestproxy import targets
 
@@ -174,3 +175,56 @@
         await task
 
     run(no_answer, scenario)
+
+
+class RecordingCurl:
+    """A libcurl handle that records its pauses."""
+
+    def __init__(self):
+        self.pauses = []
+
+    def setopt(self, *_):
+        pass
+
+    def pause(self, flags):
+        self.pauses.append(flags)
+
+
+class SingleFetch:
+    """Handles whose only fetch ends when a test says so."""
+
+    def __init__(self):
+        self.curl = RecordingCurl()
+        self.fetched = asyncio.get_running_loop().create_future()
+
+    def take(self):
+        turn = asyncio.get_running_loop().create_future()
+        turn.set_result(None)
+        return turn
+
+    def fetch(self, request):
+        request.prepare_curl_callback(self.curl)
+        return self.fetched
+
+
+def test_ended_transfer_does_not_pause_the_next_user_of_its_handle():
+    async def scenario():
+        handles = SingleFetch()
+        ended = targets.Transfer(
+            handles,
+            httpclient.HTTPRequest("http://127.0.0.1/", request_timeout=1.0),
+            body=None,
+            body_bytes=0,
+            new_connection=False,
+            used_ports=set(),
+            may_send=lambda: True,
+        )
+        task = asyncio.create_task(ended.run())
+        await asyncio.sleep(0)
+        # The handle is free at once, but ``run`` continues only later.
+        handles.fetched.set_result(None)
+        ended.cancel()
+        assert handles.curl.pauses == []
+        await task
+
+    asyncio.run(scenario())
