Forward request targets that are not ASCII

Callers of a path with raw bytes above 127, which tornado's server accepts, got "not run" for every attempt. Each attempt also counted as a failure of its target, so that such requests let healthy targets be avoided.

Cause: pycurl refuses a str that is not ASCII as REQUEST_TARGET.

The bytes that the caller sent are passed on.

--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -73,7 +73,9 @@
         )
 
         def configure(curl: pycurl.Curl) -> None:
-            curl.setopt(pycurl.REQUEST_TARGET, outgoing.path)
+            # pycurl refuses a str that is not ASCII.
+            path = outgoing.path.encode("latin1")
+            curl.setopt(pycurl.REQUEST_TARGET, path)
             curl.setopt(pycurl.MAXAGE_CONN, max(1, outgoing.idle_s_max))
 
         return transfer.Transfer(
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -317,3 +317,15 @@
         assert attempts.target.stats.in_flight == 0
 
     run(answering(raw_answer), scenario)
+
+
+def test_path_that_is_not_ascii_reaches_the_target_unchanged():
+    async def scenario(attempts):
+        path = "/x/Zürich".encode()
+        # As tornado's server decodes request lines.
+        request = attrs.evolve(REQUEST, request_target=path.decode("latin1"))
+        assert (await attempts.send(1.0, request)).status == 200
+        assert attempts.server.requests[0].startswith(b"GET " + path)
+
+    raw_answer = OK_HEAD + b"Content-Length: 2\r\n\r\nok"
+    run(answering(raw_answer), scenario)
