Take requests that cannot be answered any more out of the handle queue

A request that waited for a handle was refused only shortly before its deadline, or sent with too little time for any answer, although it was clear before that its target could not answer in time. Its caller had no time left for another entry host.

Such a request now fails in the queue under the same rule by which the dispatcher refuses one before it is sent: when the time left is less than half the usual work time of the target. The dispatcher's next choice of a target then refuses it as overloaded. The time-out is no longer rounded down to whole milliseconds, so that the dispatcher does not find the target in time again.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -83,7 +83,7 @@
             seconds that it took to get a connection
         :raises SendError: when the attempt did not succeed
         """
-        left_ms = max(1, int((deadline_s - self._clock()) * 1000))
+        left_ms = max(1.0, (deadline_s - self._clock()) * 1000)
         pipe = wire.Pipe() if request.body is not None else None
         adaptive_timeout = self._client.adaptive_timeout
 
@@ -99,11 +99,12 @@
                 method=request.method,
                 path=request.request_target,
                 headers=self._conventions.request_headers(
-                    request.headers, target=target.name, left_ms=left_ms
+                    request.headers, target=target.name, left_ms=int(left_ms)
                 ),
                 body=pipe,
                 body_bytes=request.body_bytes,
                 timeout_ms=left_ms,
+                queue_reserve_ms=target.stats.answer_ms_min,
                 idle_s_max=(
                     IDEMPOTENT_IDLE_S_MAX
                     if idempotent
--- a/src/goldcrestproxy/routing/target_choice.py
+++ b/src/goldcrestproxy/routing/target_choice.py
@@ -126,6 +126,11 @@
         """Whether an answer is far later than expected."""
         return waited_ms > OVERDUE_RATIO * self.expected_ms(now_s)
 
+    @property
+    def answer_ms_min(self) -> float:
+        """Time below which no answer is to be expected."""
+        return self.work_ms * WORK_RATIO_MIN
+
     @property
     def slowdown(self) -> float:
         """Reported work time relative to the usual one, 1 if not reported."""
@@ -143,7 +148,7 @@
     wait_ms = stats.expected_wait_ms(now_s)
     if not urgent:
         wait_ms /= LESS_URGENT_RATIO
-    return wait_ms + stats.work_ms * WORK_RATIO_MIN > left_ms
+    return wait_ms + stats.answer_ms_min > left_ms
 
 
 @attrs.frozen(kw_only=True)
--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -24,7 +24,8 @@
     ``body_bytes`` is -1 if the length is unknown. ``idle_s_max`` is how long
     a reused connection may have been idle; 0 requires a new connection.
     ``expected_header`` is a header and the value that the answer must carry,
-    ``deadline_header`` the header with the milliseconds left.
+    ``deadline_header`` the header with the milliseconds left. A request that
+    queues for a handle fails ``queue_reserve_ms`` before its time-out.
     """
 
     address: str
@@ -33,7 +34,8 @@
     headers: dict[str, str]
     body: Pipe | None
     body_bytes: int
-    timeout_ms: int
+    timeout_ms: float
+    queue_reserve_ms: float
     idle_s_max: int
     expected_header: tuple[str, str]
     deadline_header: str
@@ -89,4 +91,7 @@
             configure=configure,
             expected_header=outgoing.expected_header,
             deadline_header=outgoing.deadline_header,
+            queue_reserve_s=max(
+                transfer.QUEUE_RESERVE_S, outgoing.queue_reserve_ms / 1000
+            ),
         )
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -91,6 +91,7 @@
         configure: ty.Callable[[pycurl.Curl], None] | None = None,
         expected_header: tuple[str, str] | None = None,
         deadline_header: str | None = None,
+        queue_reserve_s: float = QUEUE_RESERVE_S,
     ) -> None:
         """Prepare a request.
 
@@ -108,10 +109,13 @@
             carry; an answer without it belongs to another request
         :param deadline_header: the request header, if it has one, that holds
             the milliseconds left
+        :param queue_reserve_s: time before its time-out at which a transfer
+            that still waits for a handle fails
         """
         self._configure_more = configure
         self._expected_header = expected_header
         self._deadline_header = deadline_header
+        self._queue_reserve_s = queue_reserve_s
         self.mismatched = False
         self.head: asyncio.Future[AnswerHead] = (
             asyncio.get_running_loop().create_future()
@@ -187,13 +191,14 @@
         turn = self._turn = self._handles.take()
         if turn.done():
             return True
-        await asyncio.wait([turn], timeout=self._left_s() - QUEUE_RESERVE_S)
+        queue_s = self._left_s() - self._queue_reserve_s
+        await asyncio.wait([turn], timeout=queue_s)
         if not turn.done():
             turn.cancel()
         if turn.cancelled():
             return False
         left_s = self._left_s()
-        if self._cancelled or left_s < QUEUE_RESERVE_S:
+        if self._cancelled or left_s < self._queue_reserve_s:
             self._handles.give_back()
             return False
         self.queued_s = time.monotonic() - self._started_s
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -147,6 +147,19 @@
     run(no_answer, scenario)
 
 
+def test_request_that_could_not_be_answered_any_more_leaves_the_queue(
+    single_handle,
+):
+    async def scenario(attempts):
+        attempts.target.stats.work_ms = 800.0
+        async with silent_request(attempts):
+            started_s = time.monotonic()
+            await attempts.failure(0.6)
+            assert 0.15 < time.monotonic() - started_s < 0.4
+
+    run(no_answer, scenario)
+
+
 def test_target_is_not_blamed_for_a_request_without_a_handle(single_handle):
     async def scenario(attempts):
         timeout_ms = attempts.client.adaptive_timeout.timeout_ms
