--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -6,10 +6,10 @@
 
 import attrs
 import pycurl
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from goldcrestproxy.routing import connect_timeout
+from goldcrestproxy.targets import handles
 from goldcrestproxy.targets import transfer
 from goldcrestproxy.wire import Pipe
 
@@ -23,7 +23,9 @@
 
     ``body_bytes`` is -1 if the length is unknown. ``idle_s_max`` is how long
     a reused connection may have been idle; 0 requires a new connection.
-    ``expected_header`` is a header and the value that the answer must carry.
+    ``expected_header`` is a header and the value that the answer must carry,
+    ``deadline_header`` the header with the milliseconds left. A request that
+    queues for a handle fails ``queue_reserve_ms`` before its time-out.
     """
 
     address: str
@@ -32,9 +34,11 @@
     headers: dict[str, str]
     body: Pipe | None
     body_bytes: int
-    timeout_ms: int
+    timeout_ms: float
+    queue_reserve_ms: float
     idle_s_max: int
     expected_header: tuple[str, str]
+    deadline_header: str
 
 
 class SharedClient:
@@ -44,12 +48,7 @@
     """
 
     def __init__(self) -> None:
-        self._client = ty.cast(
-            curl_httpclient.CurlAsyncHTTPClient,
-            curl_httpclient.CurlAsyncHTTPClient(
-                force_instance=True, max_clients=HANDLES_MAX
-            ),
-        )
+        self._handles = handles.Handles(HANDLES_MAX)
         self._used_ports: set[int] = set()
         self.adaptive_timeout = connect_timeout.ConnectTimeout()
 
@@ -76,11 +75,13 @@
         )
 
         def configure(curl: pycurl.Curl) -> None:
-            curl.setopt(pycurl.REQUEST_TARGET, outgoing.path)
+            # pycurl refuses a str that is not ASCII.
+            path = outgoing.path.encode("latin1")
+            curl.setopt(pycurl.REQUEST_TARGET, path)
             curl.setopt(pycurl.MAXAGE_CONN, max(1, outgoing.idle_s_max))
 
         return transfer.Transfer(
-            self._client,
+            self._handles,
             request,
             body=outgoing.body,
             body_bytes=outgoing.body_bytes,
@@ -89,4 +90,8 @@
             may_send=may_send,
             configure=configure,
             expected_header=outgoing.expected_header,
+            deadline_header=outgoing.deadline_header,
+            queue_reserve_s=max(
+                transfer.QUEUE_RESERVE_S, outgoing.queue_reserve_ms / 1000
+            ),
         )
--- /dev/null
+++ b/tests/entries/test_sending.py
@@ -0,0 +1,344 @@
+"""A single attempt ends by its deadline and tells whether it may have run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import time
+
+import attrs
+import pytest
+import raw_server
+
+from goldcrestproxy.control import observations
+from goldcrestproxy import entries
+from goldcrestproxy.entries import fleet_map
+from goldcrestproxy.entries import replay
+from goldcrestproxy.entries import sending
+from goldcrestproxy import platform
+from goldcrestproxy import registry
+from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import target_choice
+from goldcrestproxy import targets
+from goldcrestproxy.targets import shared_client
+from goldcrestproxy.targets import transfer
+from goldcrestproxy import wire
+
+REQUEST = entries.FleetRequest(
+    request_id="r1",
+    method="GET",
+    host="a.example",
+    request_target="/x/1",
+    headers=(("Attempt-Id", "r1"),),
+    key=None,
+    body=None,
+    body_bytes=0,
+    deadline_ms=None,
+)
+
+
+@attrs.frozen
+class Attempts:
+    """Sends attempts to a raw server through a real client."""
+
+    server: raw_server.RawServer
+    client: targets.SharedClient
+    sender: entries.Sender
+    target: fleet_map.TrackedTarget
+
+    async def send(self, left_s, request=REQUEST):
+        return await self.sender.send(
+            request,
+            replay.ReplayableBody(request.body),
+            self.target,
+            idempotent=False,
+            deadline_s=time.monotonic() + left_s,
+            on_sent=lambda _: None,
+        )
+
+    async def failure(self, left_s, request=REQUEST):
+        """Return the failure of an attempt, which ends by its deadline."""
+        async with asyncio.timeout(left_s + 0.5):
+            with pytest.raises(sending.SendError) as caught:
+                await self.send(left_s, request)
+        return caught.value.failure
+
+
+def run(respond, scenario, conventions=None):
+    async def run_scenario():
+        server = raw_server.RawServer(respond)
+        async with server.running() as address:
+            client = targets.SharedClient()
+            target = fleet_map.TrackedTarget(
+                record=registry.RegisteredTarget(
+                    target="t1",
+                    incarnation=1,
+                    service="s",
+                    zone="zone-a",
+                    address=address,
+                    slots=4,
+                ),
+                stats=target_choice.TargetStats(slots=4),
+                rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+            )
+            sender = entries.Sender(
+                client,
+                conventions or platform.PlatformHeaders(),
+                observations.Observations(),
+                time.monotonic,
+            )
+            await scenario(Attempts(server, client, sender, target))
+
+    asyncio.run(run_scenario())
+
+
+async def no_answer(server, number, reader, writer):
+    await asyncio.sleep(30)
+    return False
+
+
+def answering(raw_answer):
+    async def respond(server, number, reader, writer):
+        writer.write(raw_answer)
+        await writer.drain()
+        return True
+
+    return respond
+
+
+@pytest.fixture
+def single_handle(monkeypatch):
+    """Let each client have one handle only."""
+    monkeypatch.setattr(shared_client, "HANDLES_MAX", 1)
+
+
+@contextlib.asynccontextmanager
+async def silent_request(attempts):
+    """Keep the only handle in use by a request without an answer."""
+    task = asyncio.create_task(attempts.send(20))
+    await asyncio.sleep(0.05)
+    try:
+        yield task
+    finally:
+        task.cancel()
+        await asyncio.wait([task])
+
+
+def test_request_without_a_handle_is_not_run_before_its_deadline(
+    single_handle, monkeypatch
+):
+    monkeypatch.setattr(transfer, "QUEUE_RESERVE_S", 0.2)
+
+    async def scenario(attempts):
+        async with silent_request(attempts):
+            started_s = time.monotonic()
+            match await attempts.failure(0.5):
+                case fleet_retries.NotRun():
+                    pass
+                case failure:
+                    pytest.fail(f"{failure} instead of not run")
+            # The caller still has to receive the refusal.
+            assert time.monotonic() - started_s < 0.5
+        await asyncio.sleep(0.05)
+        assert len(attempts.server.requests) == 1
+
+    run(no_answer, scenario)
+
+
+def test_request_that_could_not_be_answered_any_more_leaves_the_queue(
+    single_handle,
+):
+    async def scenario(attempts):
+        attempts.target.stats.work_ms = 800.0
+        async with silent_request(attempts):
+            started_s = time.monotonic()
+            await attempts.failure(0.6)
+            assert 0.15 < time.monotonic() - started_s < 0.4
+
+    run(no_answer, scenario)
+
+
+def test_target_is_not_blamed_for_a_request_without_a_handle(single_handle):
+    async def scenario(attempts):
+        timeout_ms = attempts.client.adaptive_timeout.timeout_ms
+        async with silent_request(attempts):
+            for _ in range(target_choice.FAILURES_MAX):
+                await attempts.failure(0.1)
+            now_s = time.monotonic()
+            assert not attempts.target.stats.is_backing_off(now_s)
+            assert attempts.target.stats.in_flight == 1
+        assert attempts.client.adaptive_timeout.timeout_ms == timeout_ms
+
+    run(no_answer, scenario)
+
+
+def test_target_gets_the_time_that_is_left_after_the_queue(single_handle):
+    async def scenario(attempts):
+        async with silent_request(attempts) as silent:
+            queued = asyncio.create_task(attempts.failure(1.0))
+            await asyncio.sleep(0.5)
+            silent.cancel()
+            await queued
+        sent = re.search(rb"Deadline-Ms: (\d+)", attempts.server.requests[1])
+        assert 300 < int(sent.group(1)) <= 500
+
+    run(no_answer, scenario)
+
+
+def test_time_in_the_queue_is_not_counted_as_time_of_the_target(
+    single_handle,
+):
+    raw_answer = (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+    )
+
+    async def respond(server, number, reader, writer):
+        if number == 1:
+            return await no_answer(server, number, reader, writer)
+        return await answering(raw_answer)(server, number, reader, writer)
+
+    async def scenario(attempts):
+        timeout_ms = attempts.client.adaptive_timeout.timeout_ms
+        async with silent_request(attempts) as silent:
+            queued = asyncio.create_task(attempts.send(2.0))
+            await asyncio.sleep(0.7)
+            silent.cancel()
+            assert (await queued).status == 200
+        assert attempts.target.stats.work_ms < 300
+        assert attempts.client.adaptive_timeout.timeout_ms == timeout_ms
+
+    run(respond, scenario)
+
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+
+
+class FailingHeaders(platform.PlatformHeaders):
+    """Conventions with a fault that appears once there is an answer."""
+
+    def read_metadata(self, status, headers):
+        raise ValueError("unexpected")
+
+
+def assert_may_have_run(failure, *, timed_out):
+    match failure:
+        case fleet_retries.MaybeRun():
+            assert failure.timed_out is timed_out
+        case _:
+            pytest.fail(f"{failure} instead of may have run")
+
+
+def test_answer_that_cannot_be_handled_means_may_have_run(single_handle):
+    raw_answer = OK_HEAD + b"Content-Length: 200000\r\n\r\n" + bytes(100_000)
+
+    async def scenario(attempts):
+        for _ in range(2):
+            # The second attempt needs the handle of the first.
+            assert_may_have_run(await attempts.failure(0.5), timed_out=False)
+        assert attempts.target.stats.in_flight == 0
+
+    run(answering(raw_answer), scenario, FailingHeaders())
+
+
+def test_large_answer_of_a_target_that_did_not_run_it_is_not_awaited(
+    single_handle,
+):
+    raw_answer = (
+        b"HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\n"
+        b"Content-Length: 200000\r\n\r\n"
+    ) + bytes(100_000)
+
+    async def scenario(attempts):
+        for _ in range(2):
+            match await attempts.failure(0.5):
+                case fleet_retries.NotRun(refused=True):
+                    pass
+                case failure:
+                    pytest.fail(f"{failure} instead of refused")
+
+    run(answering(raw_answer), scenario)
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Server-Load: " + b"9" * 5000 + b",1,1\r\nContent-Length: 2\r\n",
+        b"Content-Length: " + b"9" * 5000 + b"\r\nConnection: close\r\n",
+    ],
+)
+def test_numbers_too_long_to_read_do_not_lose_the_answer(header):
+    async def respond(server, number, reader, writer):
+        writer.write(OK_HEAD + header + b"\r\nok")
+        await writer.drain()
+        return False
+
+    async def scenario(attempts):
+        answer = await attempts.send(1.0)
+        assert (answer.status, answer.body) == (200, b"ok")
+
+    run(respond, scenario)
+
+
+@pytest.mark.parametrize(
+    "raw_answer",
+    [
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        OK_HEAD + b"Content-Length: 100\r\n\r\nhalf",
+        OK_HEAD + b"Content-Length: 70000\r\n\r\n" + bytes(60_000),
+    ],
+)
+def test_target_that_falls_silent_means_may_have_run(raw_answer):
+    async def scenario(attempts):
+        assert_may_have_run(await attempts.failure(0.3), timed_out=True)
+        assert attempts.target.stats.in_flight == 0
+
+    run(answering(raw_answer), scenario)
+
+
+def test_garbage_instead_of_an_answer_means_may_have_run():
+    async def scenario(attempts):
+        assert_may_have_run(await attempts.failure(1.0), timed_out=False)
+
+    run(answering(b"\x00\xff garbage\r\n\r\n"), scenario)
+
+
+def test_upload_that_pauses_ends_by_the_deadline():
+    async def scenario(attempts):
+        body = wire.Pipe()
+        body.feed(b"half")
+        upload = attrs.evolve(
+            REQUEST, method="POST", body=body, body_bytes=100
+        )
+        failure = await attempts.failure(0.3, upload)
+        assert_may_have_run(failure, timed_out=True)
+
+    run(no_answer, scenario)
+
+
+def test_large_answer_that_stops_is_incomplete_by_the_deadline():
+    raw_answer = OK_HEAD + b"Content-Length: 200000\r\n\r\n" + bytes(100_000)
+
+    async def scenario(attempts):
+        answer = await attempts.send(0.5)
+        async with asyncio.timeout(1.0):
+            with pytest.raises(targets.TransferError):
+                await answer.remaining_body.read_all(200_000)
+        await asyncio.sleep(0)
+        assert attempts.target.stats.in_flight == 0
+
+    run(answering(raw_answer), scenario)
+
+
+def test_path_that_is_not_ascii_reaches_the_target_unchanged():
+    async def scenario(attempts):
+        path = "/x/Zürich".encode()
+        # As tornado's server decodes request lines.
+        request = attrs.evolve(REQUEST, request_target=path.decode("latin1"))
+        assert (await attempts.send(1.0, request)).status == 200
+        assert attempts.server.requests[0].startswith(b"GET " + path)
+
+    raw_answer = OK_HEAD + b"Content-Length: 2\r\n\r\nok"
+    run(answering(raw_answer), scenario)
