Survive SIGHUP in a daemon whose targets are granted slots

SIGHUP killed the daemon at once, with the requests in flight, because it had no handler. Callers saw closed connections. Now it is logged and changes nothing: the settings of this daemon are read at its start only.

Seen failing before the change: test_sighup_cuts_no_request, "http.client.RemoteDisconnected: Remote end closed connection without response".

--- a/src/goldcrestproxy/daemon/running.py
+++ b/src/goldcrestproxy/daemon/running.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import signal
 import typing as ty
 
 from goldcrestproxy.daemon import composition
@@ -20,9 +21,16 @@
 async def run(daemon: composition.Daemon) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
+    SIGHUP changes nothing.
+
     :raises SettingsError: if a port cannot be listened on
     """
     stop = lifecycle.stop_signal()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP,
+        LOG.info,
+        "daemon: SIGHUP ignored; restart to apply changed settings",
+    )
     _listen(daemon)
     tasks = [asyncio.create_task(daemon.link.run())]
     if daemon.control_service is not None:
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import concurrent.futures
+import signal
 import threading
 import time
 
@@ -78,6 +80,23 @@
     assert [a.status for a in steady_load.answers if a.status != 200] == []
 
 
+def wait_started(cluster, what):
+    clusters.wait_until(
+        lambda: [r for r in cluster.runs() if r["path"].endswith(what)],
+        f"a target has started {what}",
+    )
+
+
+def test_sighup_cuts_no_request(keyed):
+    host = keyed.hosts["entry-d"]
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(clusters.fetch, f"{key_url(host)}/slow")
+        wait_started(keyed, "slow")
+        host.process.send(signal.SIGHUP)
+        assert running.result().status == 200
+    assert clusters.fetch(key_url(host)).status == 200
+
+
 def test_zone_taken_out_gets_no_new_work_and_returns(keyed):
     load = Load(keyed)
     time.sleep(0.5)
