Refuse no request as not run after an earlier attempt may have run it

An idempotent request whose attempt ended with an unknown outcome is tried again. When the retry was refused, for example because the key had no owner or the request was quarantined, callers got that refusal: "not run", though a target had run the request. The router now counts the attempts that a target may have run, and such a refusal becomes 4001, outcome-unknown.

Seen failing before the change: test_retry_that_is_refused_does_not_hide_an_earlier_run, "assert 'not-run' == 'unknown'". test_lost_coordinator_gives_an_honest_outcome (coordinator killed or stopped, GET and POST) passed before the change as well; it is kept as a guard.

--- a/src/goldcrestproxy/entries/attempt.py
+++ b/src/goldcrestproxy/entries/attempt.py
@@ -22,6 +22,17 @@
 BUFFERED_BYTES_MAX: ty.Final = 64 * 1024
 
 
+@attrs.define
+class Progress:
+    """How far the attempts of a request have come.
+
+    ``possible_runs`` counts those that a target may have run or may still
+    run.
+    """
+
+    possible_runs: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class RequestPlan:
     """The data that all attempts of a request share.
@@ -37,6 +48,7 @@
     body: replay.ReplayableBody
     body_digest: str
     trace_parent: str
+    progress: Progress
 
     @property
     def may_repeat(self) -> bool:
@@ -97,6 +109,7 @@
         exchange = wire.Exchange(self._relay_request(plan, target))
         try:
             await self._open(exchange, target)
+            plan.progress.possible_runs += 1
             if exchange.request.body_bytes != 0:
                 plan.body.feed(exchange.request_body)
             return await self._answer(plan, exchange, target)
@@ -160,7 +173,10 @@
             async with asyncio.timeout(max(0.0, until_s)):
                 head = await exchange.response
                 if head.code != results.ANSWERED:
-                    raise AttemptFailed(_refusal_of(head), head.map_index)
+                    failed = AttemptFailed(_refusal_of(head), head.map_index)
+                    if failed.outcome is results.Outcome.NOT_RUN:
+                        plan.progress.possible_runs -= 1
+                    raise failed
                 answer = _routed_answer(head, exchange, target)
                 if 0 <= answer.body_bytes <= BUFFERED_BYTES_MAX:
                     body = await answer.body.read_all(BUFFERED_BYTES_MAX)
--- a/src/goldcrestproxy/entries/refusals.py
+++ b/src/goldcrestproxy/entries/refusals.py
@@ -43,6 +43,22 @@
     return results.refusal(results.OUTCOME_UNKNOWN, f"{target}: {error}")
 
 
+def after_run(
+    error: errors.RefusedError, *, may_have_run: bool
+) -> errors.RefusedError:
+    """Return the refusal of a request that an earlier sending may have run.
+
+    Only the last sending is known not to have run it.
+    """
+    not_run = results.BY_CODE[error.code].outcome is results.Outcome.NOT_RUN
+    if not may_have_run or not not_run:
+        return error
+    return results.refusal(
+        results.OUTCOME_UNKNOWN,
+        f"it was sent before and may have run; then: {error.text}",
+    )
+
+
 def raise_not_run(
     head: targets.AnswerHead, target: str, on_shed: ty.Callable[[], None]
 ) -> None:
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -15,6 +15,7 @@
 from goldcrestproxy.entries import control_link
 from goldcrestproxy.entries import fingerprints
 from goldcrestproxy.entries import hedging
+from goldcrestproxy.entries import refusals
 from goldcrestproxy.entries import replay
 from goldcrestproxy import errors
 from goldcrestproxy import results
@@ -85,6 +86,7 @@
         :raises RefusedError: with a result code, whose outcome says whether
             the request ran
         """
+        progress = attempts.Progress()
         started_s = self._clock()
         deadline_ms = min(
             request.deadline_ms or classified.route.deadline_ms,
@@ -97,12 +99,18 @@
                 classified,
                 started_s + deadline_ms / 1000,
                 span.trace_parent,
+                progress,
             )
-            if request.idempotency_key and not plan.may_repeat:
-                return await self._claimer.run_once(
-                    plan, lambda: self._run_with_retries(plan)
-                )
-            return await self._run_with_retries(plan)
+            try:
+                if request.idempotency_key and not plan.may_repeat:
+                    return await self._claimer.run_once(
+                        plan, lambda: self._run_with_retries(plan)
+                    )
+                return await self._run_with_retries(plan)
+            except errors.RefusedError as error:
+                raise refusals.after_run(
+                    error, may_have_run=progress.possible_runs > 0
+                ) from None
 
     async def _plan(
         self,
@@ -110,6 +118,7 @@
         classified: classification.ClassifiedRequest,
         deadline_s: float,
         trace_parent: str,
+        progress: attempts.Progress,
     ) -> attempts.RequestPlan:
         body = replay.ReplayableBody(request.body)
         digest = ""
@@ -124,6 +133,7 @@
             body=body,
             body_digest=digest,
             trace_parent=trace_parent,
+            progress=progress,
         )
 
     async def _run_with_retries(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,12 +22,14 @@
 
 
 @pytest.fixture
-def cluster(tmp_path):
+def cluster(tmp_path, request):
     """Configured cluster without targets.
 
     Three hosts have the entry and control roles, one has only the entry role.
+    An indirect parameter holds time-outs for the settings of all hosts.
     """
-    new_cluster = clusters.Cluster(tmp_path, THREE_HOSTS)
+    timeouts = getattr(request, "param", None)
+    new_cluster = clusters.Cluster(tmp_path, THREE_HOSTS, timeouts)
     try:
         new_cluster.start()
         new_cluster.form_control_group()
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -136,6 +136,31 @@
     check_guarantees(cluster, load)
 
 
+@pytest.mark.parametrize("cluster", [{"stop_drain_ms": 300}], indirect=True)
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_lost_coordinator_gives_an_honest_outcome(keyed, method, number):
+    """The target is silent, and its coordinator ends or breaks off."""
+    coordinator = keyed.owner("kisvaros", "pitches", "p1")["coordinator"]
+    other = next(h for h in keyed.entry_hosts if h.name != coordinator)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(
+            clusters.fetch, f"{key_url(other)}/silent", method
+        )
+        clusters.wait_until(keyed.runs, "a target has started the request")
+        keyed.hosts[coordinator].process.send(number)
+        answer = running.result()
+    assert answer.code in (4001, 4002)
+    assert answer.outcome == "unknown"
+
+
+def test_retry_that_is_refused_does_not_hide_an_earlier_run(keyed):
+    """Each target that runs the request crashes, until none is left."""
+    answer = clusters.fetch(f"{key_url(keyed.entry_hosts[0])}/crash")
+    assert keyed.runs()
+    assert answer.outcome == "unknown"
+
+
 @pytest.mark.parametrize(
     ("role", "fencing"),
     [
