Refuse no request as not run after a silent connection may have run it

An idempotent request on a reused connection that stays silent is sent again on a new one. When no new connection could be opened, the coordinator said "not run", though the target may have run the first one.

Seen failing with only the previous commit: test_request_sent_on_a_forgotten_connection_is_not_called_not_run, "assert 'not-run' == 'unknown'".

--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -245,6 +245,7 @@
         """
         request = exchange.request
         self._count_key(request, owned)
+        may_have_run = False
         try:
             try:
                 transfer = self._start_transfer(
@@ -257,6 +258,7 @@
                     exchange, transfer, self._silence_timeout_s(request)
                 )
             except SilentConnectionError:
+                may_have_run = True
                 LOG.warning(
                     "entries: connection to %s is silent; using a new one",
                     self.target,
@@ -267,7 +269,14 @@
                 await self._transfer(exchange, transfer, None)
         except targets.TransferError as error:
             self._handle_transfer_error(error, request, fingerprint)
-            raise refusals.refusal_of(error, self.target) from error
+            refusal = refusals.refusal_of(error, self.target)
+            raise refusals.after_run(
+                refusal, may_have_run=may_have_run
+            ) from error
+        except errors.RefusedError as error:
+            raise refusals.after_run(
+                error, may_have_run=may_have_run
+            ) from None
 
     async def _transfer(
         self,
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -14,6 +14,7 @@
         self.drops_all = False
         # Connections up to this number carry no more bytes.
         self.silenced_max = 0
+        self.drops_answers = False
         self.connections = 0
         self._ports = (listen_port, to_port)
         self._loop = asyncio.new_event_loop()
@@ -34,7 +35,7 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         listen_port, _ = self._ports
-        self._loop.run_until_complete(
+        self._server = self._loop.run_until_complete(
             asyncio.start_server(self._accept, "127.0.0.1", listen_port)
         )
         self._ready.set()
@@ -52,16 +53,23 @@
         number = self.connections
         await asyncio.gather(
             self._pump(number, reader, back_writer),
-            self._pump(number, back_reader, writer),
+            self._pump(number, back_reader, writer, answers=True),
         )
 
     def silence_connections(self) -> None:
         """Drop all further bytes of open connections, but not of new ones."""
         self.silenced_max = self.connections
 
-    async def _pump(self, number, reader, writer) -> None:
+    def strand_connections(self) -> None:
+        """Drop the answers on open connections and refuse new ones."""
+        self.drops_answers = True
+        self._loop.call_soon_threadsafe(self._server.close)
+
+    async def _pump(self, number, reader, writer, *, answers=False) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                if answers and self.drops_answers:
+                    continue
                 if not self.drops_all and number > self.silenced_max:
                     writer.write(data)
                     await writer.drain()
--- a/tests/system/test_cuts.py
+++ b/tests/system/test_cuts.py
@@ -111,6 +111,27 @@
         relay.close()
 
 
+def test_request_sent_on_a_forgotten_connection_is_not_called_not_run(
+    cluster,
+):
+    """Its answer is lost, and no new connection can be opened."""
+    host = cluster.hosts["entry-a"]
+    port = cluster.prepare_target("pitch-0", "pitches", "zone-a", "--fencing")
+    cluster.target_ports["pitch-0"] = clusters.free_port()
+    relay = relays.Relay(cluster.target_ports["pitch-0"], port)
+    try:
+        cluster.start_target("pitch-0")
+        cluster.wait_in_service("pitches")
+        for _ in range(30):
+            assert clusters.fetch(key_url(host)).status == 200
+        relay.strand_connections()
+        answer = clusters.fetch(f"{key_url(host)}/last")
+    finally:
+        relay.close()
+    assert [r for r in cluster.runs() if r["path"].endswith("/last")]
+    assert answer.outcome == "unknown"
+
+
 def test_silent_new_connection_ends_as_unknown(cluster):
     """The deadline ends the request, as for any other silent target."""
     host = cluster.hosts["entry-a"]
