Answer a request whose body stops arriving within its deadline

The entry host reads a small body before it makes the first attempt, and waited for it without a limit: a caller whose body stopped arriving got no answer and no refusal. The wait now ends with the deadline of the request, as 3002, deadline-not-run; no attempt has been made then.

Seen failing before the change: test_body_that_stops_arriving_costs_no_more_than_the_deadline, "TimeoutError: timed out" after 5 s for a deadline of 400 ms.

--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -123,7 +123,7 @@
         body = replay.ReplayableBody(request.body)
         digest = ""
         if 0 < request.body_bytes <= DIGESTED_BYTES_MAX:
-            await body.read_ahead(DIGESTED_BYTES_MAX)
+            await self._read_ahead(body, deadline_s)
             digest = fingerprints.body_digest(body.buffered)
         return attempts.RequestPlan(
             request=request,
@@ -136,6 +136,22 @@
             progress=progress,
         )
 
+    async def _read_ahead(
+        self, body: replay.ReplayableBody, deadline_s: float
+    ) -> None:
+        """Buffer a small body.
+
+        :raises RefusedError: if it does not arrive within the deadline
+        """
+        try:
+            async with asyncio.timeout(deadline_s - self._clock()):
+                await body.read_ahead(DIGESTED_BYTES_MAX)
+        except TimeoutError:
+            raise results.refusal(
+                results.DEADLINE_NOT_RUN,
+                "the body did not arrive within the deadline",
+            ) from None
+
     async def _run_with_retries(
         self, plan: attempts.RequestPlan
     ) -> caller_request.RoutedAnswer:
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import http.client
 import json
 import socket
 import time
@@ -120,6 +121,21 @@
     assert clusters.fetch(key_url(host)).status == 200
 
 
+def test_body_that_stops_arriving_costs_no_more_than_the_deadline(keyed):
+    host = keyed.entry_hosts[0]
+    with socket.create_connection(("127.0.0.1", host.caller_port)) as caller:
+        caller.settimeout(5)
+        caller.sendall(
+            b"POST /kisvaros/pitches/pitches/p1 HTTP/1.1\r\n"
+            b"Host: entry\r\nContent-Length: 10\r\n"
+            b"Goldcrest-Deadline-Ms: 400\r\n\r\nfirst"
+        )
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+    assert answer.headers["Goldcrest-Result"].startswith("3002 ")
+    assert answer.headers["Goldcrest-Outcome"] == "not-run"
+
+
 def test_answer_says_when_to_come_back_and_comes_at_once(keyed):
     """All slots are busy with slow requests; the others would be late."""
     host = keyed.entry_hosts[0]
