Answer the requests that are left when the drain of a stop ends

When stop_drain_ms ended, the requests in flight were cancelled with the event loop: their callers got an empty success or a closed connection, and their claims were not settled. New requests on open connections were still accepted during the drain and then cut as well.

Now the gate closes when the drain begins, so that such requests are refused as not run. When the drain ends, the router ends each request that is left: with 4001, outcome-unknown, if an attempt may have reached a target, with 2006, stopping, if none was sent. Its claim is settled accordingly, and the daemon waits for that before it exits. A claim whose proposal was refused or ended is withdrawn, so that its key does not stay claimed.

Seen failing before the change, all in tests/system/test_operations.py: - test_request_at_a_silent_target_is_answered_before_a_stop_ends, "assert (-1, '') == (4001, 'unknown')" - test_claim_of_a_request_that_a_stop_ended_is_settled, the same - test_request_that_was_not_sent_before_a_stop_ends_is_not_run, "assert (-1, '') == (2006, 'not-run')" - test_request_whose_body_is_arriving_when_a_stop_ends_is_answered, "assert None == '2006 stopping'" - test_request_on_an_open_connection_is_refused_during_the_drain, "assert None == '2006 stopping'"

--- a/src/goldcrestproxy/daemon/composition.py
+++ b/src/goldcrestproxy/daemon/composition.py
@@ -35,6 +35,7 @@
     link: entries.ControlLink
     coordinator: entries.Coordinator
     claimer: entries.Claimer
+    router: entries.Router
     gate: callers.Gate
     peers: wire.Peers
     peer_server: wire.PeerServer
@@ -83,6 +84,7 @@
         link=link,
         coordinator=coordinator,
         claimer=claimer,
+        router=router,
         gate=gate,
         peers=peers,
         peer_server=peering.server,
--- a/src/goldcrestproxy/daemon/running.py
+++ b/src/goldcrestproxy/daemon/running.py
@@ -16,6 +16,8 @@
 
 HANDOVER_TIMEOUT_S: ty.Final = 5.0
 STOP_POLL_INTERVAL_S: ty.Final = 0.02
+# Time after the drain for the answers to requests that are still in flight.
+LAST_ANSWERS_S: ty.Final = 1.0
 
 
 async def run(daemon: composition.Daemon) -> None:
@@ -54,11 +56,12 @@
 
 
 async def _stop(daemon: composition.Daemon) -> None:
-    """Stop without interrupting requests.
+    """Stop with an answer or a refusal for each request.
 
     Readiness checks fail first, while requests are still served. Then
-    targets are handed over to other coordinators, and last the daemon waits
-    for the requests in flight.
+    targets are handed over to other coordinators, and the daemon waits for
+    the requests in flight. Those that remain are answered without their
+    targets.
     """
     timeouts = daemon.host_settings.timeouts
     LOG.info("daemon: stopping; readiness checks fail from now on")
@@ -72,6 +75,9 @@
         async with asyncio.timeout(HANDOVER_TIMEOUT_S):
             while daemon.coordinator.coordinated_targets:
                 await asyncio.sleep(STOP_POLL_INTERVAL_S)
+    # Further requests on open connections are refused as not run, because
+    # they might not complete before the process exits.
+    daemon.gate.close()
     LOG.info(
         "daemon: waiting for %d requests in flight",
         daemon.gate.in_flight + daemon.coordinator.running_requests,
@@ -81,7 +87,21 @@
             await daemon.gate.wait_empty()
             while daemon.coordinator.running_requests:
                 await asyncio.sleep(STOP_POLL_INTERVAL_S)
-            await daemon.claimer.wait_settled()
+    if daemon.gate.in_flight:
+        LOG.warning(
+            "daemon: ending %d requests that their targets did not answer",
+            daemon.gate.in_flight,
+        )
+        daemon.router.end_all()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LAST_ANSWERS_S):
+            await daemon.gate.wait_empty()
+            if daemon.caller_server is not None:
+                await daemon.caller_server.close_all_connections()
+    # Limited by the timeouts of the proposals.
+    await daemon.claimer.wait_settled()
+    if daemon.gate.in_flight:
+        LOG.warning("daemon: exit cuts %d requests", daemon.gate.in_flight)
 
 
 def _close(daemon: composition.Daemon) -> None:
--- a/src/goldcrestproxy/entries/claims.py
+++ b/src/goldcrestproxy/entries/claims.py
@@ -21,6 +21,7 @@
 LOG = logging.getLogger(__name__)
 
 RUNNING_RETRY_AFTER_MS: ty.Final = 200
+UNKNOWN_ANSWER: ty.Final = control.Answer(code=results.OUTCOME_UNKNOWN)
 
 Run = ty.Callable[[], ty.Awaitable[caller_request.RoutedAnswer]]
 
@@ -43,10 +44,15 @@
             or ran without a recorded answer
         """
         claim = self._claim(plan)
-        outcome = await self._link.propose(claim)
+        try:
+            outcome = await self._link.propose(claim)
+        except BaseException:
+            # The claim may have been committed all the same.
+            self._settle(claim, UNKNOWN_ANSWER, not_run=True)
+            raise
         match outcome:
             case control.Claimed():
-                return await self._run_claimed(claim, run)
+                return await self._run_claimed(plan, claim, run)
             case control.AlreadyClaimed():
                 return _recorded_answer(outcome)
             case _:
@@ -76,7 +82,7 @@
         )
 
     async def _run_claimed(
-        self, claim: control.Claim, run: Run
+        self, plan: attempts.RequestPlan, claim: control.Claim, run: Run
     ) -> caller_request.RoutedAnswer:
         try:
             answer = await run()
@@ -87,11 +93,8 @@
             self._settle(claim, control.Answer(code=code), not_run=not_run)
             raise
         except BaseException:
-            self._settle(
-                claim,
-                control.Answer(code=results.OUTCOME_UNKNOWN),
-                not_run=False,
-            )
+            not_run = plan.progress.possible_runs == 0
+            self._settle(claim, UNKNOWN_ANSWER, not_run=not_run)
             raise
         self._settle(claim, _answer_of(answer), not_run=False)
         return answer
@@ -128,7 +131,7 @@
     Without its whole body an answer is recorded as an unknown outcome.
     """
     if answer.whole_body is None:
-        return control.Answer(code=results.OUTCOME_UNKNOWN)
+        return UNKNOWN_ANSWER
     return control.Answer(
         code=results.ANSWERED,
         status=answer.status,
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -17,6 +17,7 @@
 from goldcrestproxy.entries import hedging
 from goldcrestproxy.entries import refusals
 from goldcrestproxy.entries import replay
+from goldcrestproxy.entries import running_requests
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import classification
@@ -32,6 +33,8 @@
 TARGET_WAIT_S: ty.Final = 2.0
 MAP_WAIT_S: ty.Final = 0.05
 DIGESTED_BYTES_MAX: ty.Final = 64 * 1024
+# Another entry host can take the request at once.
+STOPPING_RETRY_AFTER_MS: ty.Final = 100
 
 
 class Router:
@@ -63,6 +66,7 @@
         self._budgets: dict[str, retry_budget.RetryTokenBucket] = {}
         self._views: dict[str, power_of_two.TargetMeasurements] = {}
         self._hedge_delays = hedging.HedgeDelays()
+        self._running = running_requests.RunningRequests()
 
     def classify(
         self, method: str, request_target: str
@@ -87,6 +91,21 @@
             the request ran
         """
         progress = attempts.Progress()
+        return await self._running.run(
+            self._route(request, classified, progress),
+            lambda: _refuse_at_stop(progress),
+        )
+
+    def end_all(self) -> None:
+        """End the requests in flight, each with a refusal."""
+        self._running.end_all()
+
+    async def _route(
+        self,
+        request: caller_request.CallerRequest,
+        classified: classification.ClassifiedRequest,
+        progress: attempts.Progress,
+    ) -> caller_request.RoutedAnswer:
         started_s = self._clock()
         deadline_ms = min(
             request.deadline_ms or classified.route.deadline_ms,
@@ -347,3 +366,17 @@
             )
             self._budgets[classified.customer] = retry_tokens
         return retry_tokens
+
+
+def _refuse_at_stop(progress: attempts.Progress) -> ty.NoReturn:
+    """Raise the refusal of a request that the end of a stop ended."""
+    if progress.possible_runs:
+        raise results.refusal(
+            results.OUTCOME_UNKNOWN,
+            "this entry host stopped before a target answered",
+        )
+    raise results.refusal(
+        results.STOPPING,
+        "this entry host is stopping",
+        STOPPING_RETRY_AFTER_MS,
+    )
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import concurrent.futures
+import http.client
 import signal
+import socket
 import threading
 import time
 
@@ -80,6 +82,24 @@
     assert [a.status for a in steady_load.answers if a.status != 200] == []
 
 
+# A drain that is shorter than the deadlines of the requests.
+short_drain = pytest.mark.parametrize(
+    "cluster", [{"stop_drain_ms": 600}], indirect=True, ids=["short-drain"]
+)
+
+
+def wait_taken(host, count=1):
+    clusters.wait_until(
+        lambda: (
+            clusters.fetch(f"http://{host.service_address}/v1/status").json[
+                "requests_in_flight"
+            ]
+            == count
+        ),
+        f"{host.name} has taken {count} requests",
+    )
+
+
 def wait_started(cluster, what):
     clusters.wait_until(
         lambda: [r for r in cluster.runs() if r["path"].endswith(what)],
@@ -87,6 +107,111 @@
     )
 
 
+def wait_drain(host):
+    clusters.wait_until(
+        lambda: "requests in flight" in host.process.log.read_text(),
+        f"{host.name} waits for its requests",
+    )
+
+
+def stop_during(cluster, url, wait, **arguments):
+    """Stop entry-d during a request; return the answer to the request."""
+    host = cluster.hosts["entry-d"]
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(clusters.fetch, url, **arguments)
+        wait()
+        assert host.process.stop() == 0
+        return running.result()
+
+
+@short_drain
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_request_at_a_silent_target_is_answered_before_a_stop_ends(
+    keyed, method
+):
+    answer = stop_during(
+        keyed,
+        f"{key_url(keyed.hosts['entry-d'])}/silent",
+        lambda: wait_started(keyed, "silent"),
+        method=method,
+    )
+    assert (answer.code, answer.outcome) == (4001, "unknown")
+    assert answer.headers["Connection"] == "close"
+
+
+@short_drain
+def test_claim_of_a_request_that_a_stop_ended_is_settled(keyed):
+    arguments = {
+        "method": "POST",
+        "body": b"reserve",
+        "headers": {"Idempotency-Key": "stopped"},
+    }
+    answer = stop_during(
+        keyed,
+        f"{key_url(keyed.hosts['entry-d'])}/silent",
+        lambda: wait_started(keyed, "silent"),
+        **arguments,
+    )
+    assert (answer.code, answer.outcome) == (4001, "unknown")
+    other = f"{key_url(keyed.hosts['entry-b'])}/silent"
+    assert clusters.fetch(other, **arguments).code == 4001
+
+
+@short_drain
+def test_request_that_was_not_sent_before_a_stop_ends_is_not_run(keyed):
+    """The desk has no target, so the request waits for one."""
+    host = keyed.hosts["entry-d"]
+    answer = stop_during(
+        keyed,
+        f"{host.caller_url}/kisvaros/photos/photos/1",
+        lambda: wait_taken(host),
+    )
+    assert (answer.code, answer.outcome) == (2006, "not-run")
+    assert int(answer.headers["Retry-After"]) >= 1
+    assert answer.headers["Connection"] == "close"
+
+
+@short_drain
+def test_request_whose_body_is_arriving_when_a_stop_ends_is_answered(
+    keyed,
+):
+    host = keyed.hosts["entry-d"]
+    with socket.create_connection(("127.0.0.1", host.caller_port)) as caller:
+        caller.settimeout(10)
+        caller.sendall(
+            b"POST /kisvaros/pitches/pitches/p1 HTTP/1.1\r\n"
+            b"Host: entry\r\nContent-Length: 10\r\n\r\nfirst"
+        )
+        wait_taken(host)
+        assert host.process.stop() == 0
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+    assert answer.headers["Goldcrest-Result"] == "2006 stopping"
+    assert answer.headers["Goldcrest-Outcome"] == "not-run"
+
+
+@short_drain
+def test_request_on_an_open_connection_is_refused_during_the_drain(
+    keyed,
+):
+    host = keyed.hosts["entry-d"]
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", host.caller_port, timeout=10
+    )
+    connection.connect()
+    silent = f"{key_url(host)}/silent"
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(clusters.fetch, silent, "POST")
+        wait_started(keyed, "silent")
+        host.process.send(signal.SIGTERM)
+        wait_drain(host)
+        connection.request("GET", "/kisvaros/pitches/pitches/p1")
+        answer = connection.getresponse()
+        assert answer.headers["Goldcrest-Result"] == "2006 stopping"
+        assert answer.headers["Connection"] == "close"
+        running.result()
+
+
 def test_sighup_cuts_no_request(keyed):
     host = keyed.hosts["entry-d"]
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
