Wait at a stop for requests whose callers have left

A request that is not idempotent runs on when its caller disconnects, so that its outcome is recorded. It no longer counted as in flight, so a stop did not wait for it, and its claim was left to the end of the session: a retry with the same Idempotency-Key was told that the request is running. Now it counts until it has ended; the end of the drain ends it as any other.

Seen failing before the change: test_claim_of_a_caller_that_left_is_settled_before_a_stop_ends, "assert 3007 == 4001".

--- a/src/goldcrestproxy/callers/handler.py
+++ b/src/goldcrestproxy/callers/handler.py
@@ -66,11 +66,14 @@
         )
         if self._request_body is not None and not self._request_body.ended:
             self._request_body.fail(error)
-        if self._answer_task is not None and self._idempotent:
-            # A request that is not idempotent runs to its end, so that its
-            # outcome is recorded.
+        if self._answer_task is None:
+            self.leave_gate()
+            return
+        if self._idempotent:
             self._answer_task.cancel()
-        self.leave_gate()
+        # A request that is not idempotent runs to its end, so that its
+        # outcome is recorded.
+        self._answer_task.add_done_callback(lambda _: self.leave_gate())
 
     def on_finish(self) -> None:
         """Leave the gate and record the metrics of the request."""
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -157,6 +157,29 @@
     assert clusters.fetch(other, **arguments).code == 4001
 
 
+@short_drain
+def test_claim_of_a_caller_that_left_is_settled_before_a_stop_ends(keyed):
+    """The coordinator is another host, which the stop does not wait for."""
+    host = keyed.hosts["entry-d"]
+    key = next(
+        key
+        for key in map(str, range(100))
+        if keyed.owner("kisvaros", "pitches", key)["coordinator"] != host.name
+    )
+    headers = {"Idempotency-Key": "left"}
+    connection = http.client.HTTPConnection("127.0.0.1", host.caller_port)
+    connection.request(
+        "POST", f"/kisvaros/pitches/pitches/{key}/silent", headers=headers
+    )
+    wait_started(keyed, "silent")
+    connection.close()
+    time.sleep(0.2)
+    assert host.process.stop() == 0
+    other = f"{key_url(keyed.hosts['entry-b'], key)}/silent"
+    again = clusters.fetch(other, "POST", headers=headers)
+    assert again.code == 4001
+
+
 @short_drain
 def test_request_that_was_not_sent_before_a_stop_ends_is_not_run(keyed):
     """The desk has no target, so the request waits for one."""
