Send the rest of all responses to other hosts before a stop ends

A coordinator counts a request as ended once its answer is in the pipe to the entry host, up to 256 KiB before the answer has been sent. A stop that did not wait for anything else closed the channel then and cut the answer. Now the stop also waits until the channels are idle.

Found by reading.

--- a/src/goldcrestproxy/daemon/running.py
+++ b/src/goldcrestproxy/daemon/running.py
@@ -85,7 +85,9 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(timeouts.stop_drain_ms / 1000):
             await daemon.gate.wait_empty()
-            while daemon.coordinator.running_requests:
+            while (
+                daemon.coordinator.running_requests or daemon.peer_server.busy
+            ):
                 await asyncio.sleep(STOP_POLL_INTERVAL_S)
     if daemon.gate.in_flight:
         LOG.warning(
--- a/src/goldcrestproxy/wire/channel.py
+++ b/src/goldcrestproxy/wire/channel.py
@@ -104,6 +104,11 @@
         """Whether the connection has ended."""
         return self._closed.is_set()
 
+    @property
+    def busy(self) -> bool:
+        """Whether exchanges are open or frames have yet to be written."""
+        return bool(self._relays) or self._stream.writing()
+
     async def run(self) -> None:
         """Send the hello, then read frames until the connection ends."""
         self.send(frames.FrameKind.HELLO, 0, codec.encode(self._hello))
--- a/src/goldcrestproxy/wire/peers.py
+++ b/src/goldcrestproxy/wire/peers.py
@@ -62,6 +62,11 @@
         finally:
             self._channels.discard(channel)
 
+    @property
+    def busy(self) -> bool:
+        """Whether responses to peers have yet to be sent."""
+        return any(channel.busy for channel in self._channels)
+
     def close_channels(self) -> None:
         """Close every accepted connection."""
         for channel in list(self._channels):
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -24,13 +24,19 @@
 
 @contextlib.asynccontextmanager
 async def connected(handlers):
+    async with serving(handlers) as (peers, address, _):
+        yield peers, address
+
+
+@contextlib.asynccontextmanager
+async def serving(handlers):
     server = wire.PeerServer(hello("server"), handlers, TIMING)
     server.listen(0, address="127.0.0.1")
     sockets = server._sockets.values()
     port = next(iter(sockets)).getsockname()[1]
     peers = wire.Peers(hello("client"), wire.Handlers(), TIMING)
     try:
-        yield peers, wire.PeerAddress("127.0.0.1", port)
+        yield peers, wire.PeerAddress("127.0.0.1", port), server
     finally:
         peers.close()
         server.close_channels()
@@ -99,6 +105,29 @@
     asyncio.run(scenario())
 
 
+def test_server_is_busy_until_a_response_has_been_sent():
+    """The response is produced faster than its reader takes it."""
+    body = bytes(1024 * 1024)
+
+    async def serve(server_exchange):
+        server_exchange.set_response(HEAD)
+        server_exchange.response_body.feed(body)
+        server_exchange.response_body.finish()
+
+    async def scenario():
+        async with serving(handlers(serve)) as (peers, address, server):
+            client_exchange = exchange()
+            await peers.open(address, client_exchange)
+            await client_exchange.response
+            await asyncio.sleep(0.05)
+            assert server.busy
+            await client_exchange.response_body.read_all(len(body))
+            await asyncio.sleep(0.05)
+            assert not server.busy
+
+    asyncio.run(scenario())
+
+
 def test_bodies_flow_both_ways_with_bounded_memory():
     size = 5 * 1024 * 1024
 
