--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -136,6 +136,28 @@
     assert answer.headers["Goldcrest-Outcome"] == "not-run"
 
 
+@pytest.mark.parametrize(
+    ("desk", "body_bytes", "code"),
+    [("photos", 1_000_000, 2002), ("no-desk", 1_000_000, 1003)],
+)
+def test_refusal_reaches_a_caller_whose_body_is_still_arriving(
+    cluster, desk, body_bytes, code
+):
+    """The desk has no target, or does not exist."""
+    host = cluster.entry_hosts[0]
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", host.caller_port, timeout=5
+    )
+    connection.putrequest("PUT", f"/kisvaros/{desk}/photos/1")
+    connection.putheader("Content-Length", str(body_bytes))
+    connection.endheaders(bytes(100_000))
+    answer = connection.getresponse()
+    assert answer.headers["Goldcrest-Result"].startswith(f"{code} ")
+    assert answer.headers["Goldcrest-Outcome"] == "not-run"
+    answer.read()
+    connection.close()
+
+
 def test_answer_says_when_to_come_back_and_comes_at_once(keyed):
     """All slots are busy with slow requests; the others would be late."""
     host = keyed.entry_hosts[0]
