--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -193,10 +193,13 @@
         }
 
     def runs(self, request_id):
-        return sum(
-            log.read_text().count(f"RUN {request_id}")
-            for log in self.logs.values()
-        )
+        return self._count_in_logs(f"RUN {request_id}")
+
+    def drops(self, request_id):
+        return self._count_in_logs(f"DROPPED {request_id}")
+
+    def _count_in_logs(self, line):
+        return sum(log.read_text().count(line) for log in self.logs.values())
 
     def close(self):
         for process in self.processes.values():
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -5,9 +5,10 @@
 
     python stand_in_fleet.py ID SERVICE ADDRESS:PORT CONTROL,CONTROL [--keyed]
 
-Each request that runs prints a line "RUN request-id" to standard output. With
-``--events``, holds and runs are also printed as "EVENT" lines of JSON with
-their time.
+Each request that runs prints a line "RUN request-id" to standard output. One
+with the header ``Drop-Silently`` prints "DROPPED request-id" and is never
+answered. With ``--events``, holds, runs and drops are also printed as "EVENT"
+lines of JSON with their time.
 """
 
 from __future__ import annotations
@@ -167,6 +168,10 @@
             self.set_status(421)
             self.set_header("Not-Executed", "1")
             return
+        if "Drop-Silently" in headers:
+            print(f"DROPPED {request_id}", flush=True)
+            self.target.print_event("drop", id=request_id)
+            await asyncio.Event().wait()
         print(f"RUN {request_id}", flush=True)
         self.target.print_event("run", id=request_id, key=key)
         await asyncio.sleep(float(headers.get("Work-Seconds", WORK_S)))
