Soak: find requests that end without an answer

The soak could not find a request that a target took and never answered and whose connection a planned stop closed: callers' deadlines were 2 s, targets always answered, bodies were written at once, and the check of stops counted only requests that ran.

Callers now send, drawn from the seed: requests that targets drop, long work, deadlines up to 9 s, bodies in pieces, and pauses on open connections. Entry hosts are stopped more often, with SIGHUP before and SIGTERM, SIGHUP or a freeze during the stop; a process is left alone by other faults of its own until its stop has ended.

LOST and the new SILENT replace the check of stops. They count each request that was written whole, whether it ran, was dropped or was not passed on, and late answers as well. A fault elsewhere no longer excuses a missing answer, only one at the entry host or, once the answer has begun, at the target. A request that was not passed on may end with its connection within 0.2 s of its last byte. A drop counts like a run in REFUSED, TWICE and UNASKED. A list of spans without a process could not express this; the tests that gave one now give the process too.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,9 +10,79 @@
 import attrs
 
 READ_BYTES = 65536
-DEADLINE_S = 2.0
-# Longer than the deadline plus the longest delay of a late answer.
-ANSWER_TIMEOUT_S = 6.0
+# Some deadlines last longer than a whole stop.
+DEADLINES_S = (2.0, 4.0, 9.0)
+# Longer than the deadlines plus the longest delay of a late answer.
+ANSWER_TIMEOUT_S = max(DEADLINES_S) + 4.0
+DROPPED_SHARE = 0.03
+SLOW_WORK_SHARE = 0.05
+SLOW_WORK_S_MAX = 4.0
+SLOW_BODY_SHARE = 0.1
+SLOW_BODY_S_MAX = 3.0
+LONG_PAUSE_SHARE = 0.05
+LONG_PAUSE_S_MAX = 4.0
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """One request, and the pause of its caller before it.
+
+    ``work_s`` and ``dropped`` are instructions to the target. The body is
+    written in ``pieces``, with a pause of ``piece_pause_s`` between them.
+    """
+
+    request_id: str
+    kind: str
+    key: int | None
+    pieces: tuple[bytes, ...]
+    piece_pause_s: float
+    pause_s: float
+    deadline_s: float = DEADLINES_S[0]
+    work_s: float | None = None
+    dropped: bool = False
+
+
+def draw_plan(seed, number, count, *, calm):
+    """Return request ``count`` of caller ``number``.
+
+    :param calm: whether the request is prompt and its target answers
+    """
+    rng = random.Random(f"{seed}/{number}/{count}")
+    kind = rng.choice(["look", "look", "book", "book", "photo"])
+    request_id = f"{number:04x}{count:012x}"
+    body = b"" if kind == "look" else f"body of {request_id}".encode()
+    if kind == "photo":
+        body *= rng.randint(1, 3000)
+    plan = Plan(
+        request_id=request_id,
+        kind=kind,
+        key=None if kind == "photo" else rng.randrange(65536),
+        pieces=(body,),
+        piece_pause_s=0.0,
+        pause_s=rng.expovariate(10),
+    )
+    if calm:
+        return plan
+    if body and rng.random() < SLOW_BODY_SHARE:
+        piece_count = rng.randint(2, 5)
+        piece_bytes = -(-len(body) // piece_count)
+        plan = attrs.evolve(
+            plan,
+            pieces=tuple(
+                body[at : at + piece_bytes]
+                for at in range(0, len(body), piece_bytes)
+            ),
+            piece_pause_s=rng.uniform(0, SLOW_BODY_S_MAX / piece_count),
+        )
+    if rng.random() < LONG_PAUSE_SHARE:
+        plan = attrs.evolve(plan, pause_s=rng.uniform(0, LONG_PAUSE_S_MAX))
+    if rng.random() < SLOW_WORK_SHARE:
+        plan = attrs.evolve(plan, work_s=rng.uniform(0, SLOW_WORK_S_MAX))
+    return attrs.evolve(
+        plan,
+        deadline_s=rng.choice(DEADLINES_S),
+        dropped=rng.random() < DROPPED_SHARE,
+    )
 
 
 @attrs.define
@@ -27,13 +97,19 @@
     kind: str
     key: int | None
     sent_s: float
+    deadline_s: float = DEADLINES_S[0]
+    # When the connection was established.
+    connected_s: float = 0.0
+    # When the whole request had been written; None if the connection ended
+    # or an answer came before.
+    written_s: float | None = None
     done_s: float = 0.0
+    # Whether the head of an answer was received.
+    answer_began: bool = False
     status: int | None = None
     failure: str = ""
     signed: bool = False
     body_matches: bool = False
-    # Whether the whole request was written before the connection ended.
-    written: bool = False
 
 
 class Caller:
@@ -45,46 +121,56 @@
     """
 
     def __init__(self, number, addresses, seed, outcomes):
+        self.calm = False
         self._number = number
         self._addresses = addresses
+        self._seed = seed
         self._rng = random.Random(f"{seed}/{number}")
         self._outcomes = outcomes
         self._count = 0
         self._streams = None
         self._entry = ""
+        self._connected_s = 0.0
 
     async def run(self):
         """Send until cancelled."""
         while True:
             await self.send_one()
-            await asyncio.sleep(self._rng.expovariate(10))
 
     async def send_one(self):
-        """Send one request."""
+        """Draw a request, pause and send it."""
         self._count += 1
-        kind = self._rng.choice(["look", "look", "book", "book", "photo"])
-        key = None if kind == "photo" else self._rng.randrange(65536)
-        request_id = f"{self._number:04x}{self._count:012x}"
-        body = b"" if kind == "look" else f"body of {request_id}".encode()
-        if kind == "photo":
-            body *= self._rng.randint(1, 3000)
+        plan = draw_plan(self._seed, self._number, self._count, calm=self.calm)
+        await asyncio.sleep(plan.pause_s)
+        await self.send(plan)
+
+    async def send(self, plan):
+        """Send one request and record its outcome."""
         try:
             async with asyncio.timeout(1.0):
                 await self._connect()
         except (OSError, TimeoutError):
-            self._close_connection()
+            self.close()
             return
-        outcome = Outcome(request_id, self._entry, kind, key, time.monotonic())
+        outcome = Outcome(
+            plan.request_id,
+            self._entry,
+            plan.kind,
+            plan.key,
+            time.monotonic(),
+            plan.deadline_s,
+            self._connected_s,
+        )
         self._outcomes.append(outcome)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await self._exchange(outcome, body)
+                await self._exchange(plan, outcome)
         except TimeoutError:
             outcome.failure = "silent"
-            self._close_connection()
+            self.close()
         except (OSError, EOFError) as error:
             outcome.failure = f"closed: {error!r}"
-            self._close_connection()
+            self.close()
         outcome.done_s = time.monotonic()
 
     async def _connect(self):
@@ -92,45 +178,79 @@
             self._entry = self._rng.choice(sorted(self._addresses))
             address = self._addresses[self._entry]
             self._streams = await asyncio.open_connection(*address)
+            self._connected_s = time.monotonic()
 
-    def _close_connection(self):
+    def close(self):
+        """Close the open connection, if any."""
         if self._streams is not None:
             self._streams[1].close()
         self._streams = None
 
-    async def _exchange(self, outcome, body):
+    async def _exchange(self, plan, outcome):
         reader, writer = self._streams
-        method = "GET" if outcome.kind == "look" else "POST"
-        head_lines = [
-            f"{method} /{outcome.kind}/{outcome.request_id} HTTP/1.1",
-            "Host: desk.example",
-            f"Attempt-Id: {outcome.request_id}",
-            f"Deadline-Ms: {DEADLINE_S * 1000:.0f}",
-        ]
-        if outcome.key is not None:
-            head_lines.append(f"Shard-Key: {outcome.key}")
-        if body:
-            head_lines.append(f"Content-Length: {len(body)}")
-        writer.write("\r\n".join([*head_lines, "", ""]).encode() + body)
-        await writer.drain()
-        outcome.written = True
-        status, headers, answer = await _read_answer(reader)
+
+        def began():
+            outcome.answer_began = True
+
+        answer_task = asyncio.create_task(_read_answer(reader, began))
+        try:
+            await _write(plan, outcome, writer, answer_task)
+            status, headers, answer = await answer_task
+        finally:
+            answer_task.cancel()
+            await asyncio.gather(answer_task, return_exceptions=True)
         outcome.status = status
         outcome.signed = "response-signature" in headers
-        expected_body = b"looked up" if outcome.kind == "look" else body
+        body = b"".join(plan.pieces)
+        expected_body = b"looked up" if plan.kind == "look" else body
         outcome.body_matches = answer == expected_body and (
-            headers.get("attempt-id") == outcome.request_id
+            headers.get("attempt-id") == plan.request_id
         )
-        if headers.get("connection", "").lower() == "close":
-            self._close_connection()
+        closes = headers.get("connection", "").lower() == "close"
+        if closes or outcome.written_s is None:
+            self.close()
+
+
+async def _write(plan, outcome, writer, answer_task):
+    """Write a request until an early answer or the connection's end."""
+    writer.write(_head(plan) + plan.pieces[0])
+    await writer.drain()
+    for piece in plan.pieces[1:]:
+        await asyncio.wait({answer_task}, timeout=plan.piece_pause_s)
+        if answer_task.done():
+            return
+        writer.write(piece)
+        await writer.drain()
+    outcome.written_s = time.monotonic()
+
+
+def _head(plan):
+    method = "GET" if plan.kind == "look" else "POST"
+    lines = [
+        f"{method} /{plan.kind}/{plan.request_id} HTTP/1.1",
+        "Host: desk.example",
+        f"Attempt-Id: {plan.request_id}",
+        f"Deadline-Ms: {plan.deadline_s * 1000:.0f}",
+    ]
+    if plan.key is not None:
+        lines.append(f"Shard-Key: {plan.key}")
+    if plan.work_s is not None:
+        lines.append(f"Work-Seconds: {plan.work_s:.3f}")
+    if plan.dropped:
+        lines.append("Drop-Silently: 1")
+    if body_bytes := sum(map(len, plan.pieces)):
+        lines.append(f"Content-Length: {body_bytes}")
+    return "\r\n".join([*lines, "", ""]).encode()
 
 
-async def _read_answer(reader):
+async def _read_answer(reader, on_head=lambda: None):
     """Read one complete answer; return status, headers and body.
 
+    :param on_head: called when the head has been read
     :raises EOFError: when the connection ends before that
     """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    on_head()
     first, *lines = head.split("\r\n")
     headers = {}
     for line in filter(None, lines):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -16,6 +16,11 @@
 SERVED_SHARE_MIN = 0.9
 # Another fault so close to a planned stop may cut off a request.
 STOP_FAULT_MARGIN_S = 3.0
+# Time after a deadline within which an answer is due.
+ANSWER_MARGIN_S = 0.5
+# A request that is cut later than this after its last byte did not cross the
+# close of an idle connection.
+CROSSING_S_MAX = 0.2
 # Time for a process to stop.
 GRACE_S = 6.0
 
@@ -29,12 +34,29 @@
     key: int | None
 
 
+@attrs.frozen
+class FaultSpan:
+    """Time of a fault at a process or its link.
+
+    A lasting fault goes on for the connections that were open at its end.
+    """
+
+    process: str
+    from_s: float
+    to_s: float
+    lasting: bool = False
+
+
 def read_events(logs):
-    """Return runs by request id, and holds as (target, event) rows.
+    """Return runs and drops by request id, and rows of holds.
+
+    A drop is the name of the target that received a request and was told not
+    to answer it; a row of holds is a target and its event.
 
     :param logs: the log file of each target's process
     """
     runs = collections.defaultdict(list)
+    drops = collections.defaultdict(list)
     holds = []
     for name, log in logs.items():
         for line in log.read_text(errors="replace").splitlines():
@@ -50,33 +72,45 @@
                 runs[event["id"]].append(
                     Run(name, event["at_s"], None if key is None else int(key))
                 )
+            elif event["kind"] == "drop":
+                drops[event["id"]].append(name)
             elif event["kind"] == "hold":
                 holds.append((name, event))
-    return runs, holds
+    return runs, drops, holds
 
 
-def check(outcomes, runs, holds, exit_times_s, planned_stops, fault_spans):
+def check(
+    outcomes, runs, drops, holds, exit_times_s, planned_stops, fault_spans
+):
     """Return a line for each violation of a guarantee.
 
+    :param drops: names of targets by the id of the request they dropped
     :param exit_times_s: times at which each process ended, by its name
     :param planned_stops: (entry host, from, to) of planned stops
-    :param fault_spans: (from, to) of all other faults
+    :param fault_spans: spans of all other faults
     """
     violations = []
     for outcome in outcomes:
-        violations.extend(_check_request(outcome, runs[outcome.request_id]))
-    violations.extend(_check_unasked(outcomes, runs))
+        request_id = outcome.request_id
+        ran, dropped = runs[request_id], drops[request_id]
+        violations.extend(_check_request(outcome, ran, dropped))
+        passed_to = {*(run.target for run in ran), *dropped}
+        violations.extend(
+            _check_answer(outcome, passed_to, planned_stops, fault_spans)
+        )
+    violations.extend(_check_unasked(outcomes, {**runs, **drops}))
     violations.extend(_check_owners(holds, exit_times_s))
-    violations.extend(_check_stops(outcomes, runs, planned_stops, fault_spans))
     return violations
 
 
-def _check_request(outcome, ran):
+def _check_request(outcome, ran, dropped):
     name = f"{outcome.kind} {outcome.request_id}"
-    if outcome.kind != "look" and len(ran) > 1:
-        yield f"TWICE: {name} ran at {[run.target for run in ran]}"
-    if outcome.status in NOT_RUN and ran:
-        yield f"REFUSED: {name} got {outcome.status} and ran at {ran}"
+    # An entry host cannot tell a drop from a run without an answer.
+    targets = [*(run.target for run in ran), *dropped]
+    if outcome.kind != "look" and len(targets) > 1:
+        yield f"TWICE: {name} ran at {targets}"
+    if outcome.status in NOT_RUN and targets:
+        yield f"REFUSED: {name} got {outcome.status} and ran at {targets}"
     if outcome.status == 200:
         if not outcome.signed or not outcome.body_matches:
             yield f"MIXED: {name} got another answer than its own"
@@ -84,9 +118,9 @@
             yield f"MIXED: {name} got an answer and never ran"
 
 
-def _check_unasked(outcomes, runs):
+def _check_unasked(outcomes, request_ids):
     sent_ids = {outcome.request_id for outcome in outcomes}
-    for request_id in runs:
+    for request_id in request_ids:
         if request_id and request_id not in sent_ids:
             yield f"UNASKED: {request_id} ran and nobody sent it"
 
@@ -155,26 +189,53 @@
     return violations
 
 
-def _check_stops(outcomes, runs, planned_stops, fault_spans):
-    """Yield a line for each request that ran and that a planned stop cut."""
-    for outcome in outcomes:
-        if outcome.status is not None or not runs[outcome.request_id]:
-            continue
-        for entry, from_s, to_s in planned_stops:
-            if outcome.entry != entry or not (
-                from_s <= outcome.done_s <= to_s + 1
-            ):
-                continue
-            undisturbed = not any(
-                start < outcome.done_s
-                and end > outcome.sent_s - STOP_FAULT_MARGIN_S
-                for start, end in fault_spans
-            )
-            if undisturbed:
-                yield (
-                    f"LOST: {outcome.kind} {outcome.request_id} was cut by "
-                    f"the stop of {entry}: {outcome.failure}"
-                )
+def _check_answer(outcome, passed_to, planned_stops, fault_spans):
+    """Yield a line if a request had no answer in time without a fault.
+
+    A fault at the entry host excuses it. So does one at a target whose answer
+    had begun: it may have broken off.
+
+    :param passed_to: names of the targets that received the request
+    """
+    # A target receives a request only once it has been written whole.
+    written = outcome.written_s is not None or passed_to
+    if not written or not outcome.done_s:
+        return
+    due_s = outcome.sent_s + outcome.deadline_s + ANSWER_MARGIN_S
+    late = outcome.done_s > due_s
+    crossed_close = (
+        not passed_to and outcome.done_s <= outcome.written_s + CROSSING_S_MAX
+    )
+    if not late and (outcome.status is not None or crossed_close):
+        return
+    names = {outcome.entry, *(passed_to if outcome.answer_began else ())}
+    # What happens after an answer was due excuses nothing.
+    end_s = min(outcome.done_s, due_s)
+    if any(
+        span.process in names and _is_near(span, outcome, end_s)
+        for span in fault_spans
+    ):
+        return
+    stopped = any(
+        entry == outcome.entry and from_s <= end_s <= to_s + 1
+        for entry, from_s, to_s in planned_stops
+    )
+    after_ms = (outcome.done_s - outcome.sent_s) * 1000
+    yield (
+        f"{'LOST' if stopped else 'SILENT'}: {outcome.kind} "
+        f"{outcome.request_id} at {outcome.entry}, passed to "
+        f"{sorted(passed_to)}, had {outcome.status or outcome.failure} after "
+        f"{after_ms:.0f} ms of {outcome.deadline_s * 1000:.0f}"
+        f"{' during a planned stop' if stopped else ''}"
+    )
+
+
+def _is_near(span, outcome, end_s):
+    if span.from_s >= end_s:
+        return False
+    if span.lasting and span.to_s > outcome.connected_s:
+        return True
+    return span.to_s > outcome.sent_s - STOP_FAULT_MARGIN_S
 
 
 def check_items(read_items, sent, acknowledged):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+import signal
 
 import attrs
 
@@ -19,6 +20,8 @@
 QUIET_END_S = 16.0
 # Time before the first fault.
 QUIET_START_S = 2.0
+# For a planned stop and the restart.
+STOP_S = 7.0
 
 
 @attrs.frozen(kw_only=True)
@@ -41,11 +44,18 @@
 
 @attrs.frozen(kw_only=True)
 class Stop:
-    """SIGTERM, and a restart once the process has ended."""
+    """SIGTERM, and a restart once the process has ended.
+
+    ``signals`` are all signals to send, with the seconds after ``at_s``; a
+    SIGSTOP is followed by a SIGCONT.
+    """
 
     at_s: float
     for_s: float
     process: str
+    signals: tuple[tuple[float, signal.Signals], ...] = (
+        (0.0, signal.SIGTERM),
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -116,7 +126,7 @@
     while at_s < length_s - QUIET_END_S:
         fault = _draw_one(rng, round(at_s, 2), processes, links)
         if _is_allowed(fault, busy_until_s, losses_tolerated):
-            for name in _affected(fault, processes):
+            for name in affected(fault, processes):
                 # A restarted control host needs longer to recover.
                 recovery_s = 4.0 if name.startswith("control-") else 1.0
                 busy_until_s[name] = fault.at_s + fault.for_s + recovery_s
@@ -130,12 +140,19 @@
     process = rng.choice(processes)
     link = rng.choice(links)
     control = rng.choice([n for n in processes if n.startswith("control-")])
+    entry = rng.choice([n for n in processes if n.startswith("entry-")])
     when = {"at_s": at_s, "for_s": for_s}
     kinds = [
         lambda: Kill(**when, process=process),
         lambda: Kill(**when, process=control, wiped=rng.random() < 0.3),
         lambda: KillControl(at_s=at_s, for_s=rng.uniform(0.1, 1.0)),
-        lambda: Stop(**when, process=process),
+        lambda: Stop(at_s=at_s, for_s=STOP_S, process=process),
+        lambda: Stop(
+            at_s=at_s,
+            for_s=STOP_S,
+            process=entry,
+            signals=_draw_signals(rng),
+        ),
         lambda: Freeze(**when, process=process),
         lambda: HangUp(at_s=at_s, for_s=0.0, process=process),
         lambda: Disturb(**when, link=link, delay_s=rng.uniform(0.01, 0.4)),
@@ -148,11 +165,30 @@
             **when, process=control, torn_bytes=rng.randint(1, 40)
         ),
     ]
-    weights = [3, 2, 1, 3, 3, 1, 3, 2, 1, 1, 3, 3, 1]
+    weights = [3, 2, 1, 3, 10, 3, 2, 3, 2, 1, 1, 3, 3, 1]
     return rng.choices(kinds, weights)[0]()
 
 
-def _affected(fault, processes):
+def _draw_signals(rng):
+    """Return SIGTERM, with others shortly before it and until its end."""
+    signals = [(0.0, signal.SIGTERM)]
+    if rng.random() < 0.3:
+        signals = [
+            (0.0, signal.SIGHUP),
+            (rng.uniform(0, 0.05), signal.SIGTERM),
+        ]
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        if rng.random() < 0.4:
+            signals.append((rng.uniform(0, 5.5), number))
+    if rng.random() < 0.2:
+        from_s = rng.uniform(0.1, 4.0)
+        signals.append((from_s, signal.SIGSTOP))
+        signals.append((from_s + rng.uniform(0.1, 2.0), signal.SIGCONT))
+    return tuple(sorted(signals))
+
+
+def affected(fault, processes):
+    """Return the names of the processes that a fault affects."""
     match fault:
         case KillControl():
             return [n for n in processes if n.startswith("control-")]
--- a/tests/soak/running.py
+++ b/tests/soak/running.py
@@ -24,8 +24,10 @@
 TARGET_LISTEN_ADDRESS = "127.0.3.{}"
 TARGET_LINK_ADDRESS = "127.0.4.{}"
 REGISTRANT_LINK_ADDRESS = "127.0.2.{}"
-CALLERS_PER_HOST = 4
+CALLERS_PER_HOST = 6
 READY_S = 30.0
+# Time after the last fault during which callers go on sending what is slow.
+RESTLESS_S = 1.0
 STOP_S_MAX = 9.0
 RESIDENT_MB_MAX = 200
 
@@ -156,9 +158,10 @@
         for name in self.target_names:
             self.start_target(name)
         await self._wait_ready()
-        traffic_tasks = [asyncio.create_task(operator.run())]
-        traffic_tasks += [
-            asyncio.create_task(caller.run()) for caller in self._callers()
+        senders = list(self._callers())
+        traffic_tasks = [
+            asyncio.create_task(sender.run())
+            for sender in [operator, *senders]
         ]
         exit_watch = asyncio.create_task(self._watch_exits())
         started_s = time.monotonic()
@@ -167,7 +170,10 @@
             *(self._inject(fault, started_s) for fault in injected)
         )
         quiet_s = time.monotonic() + faults.QUIET_END_S - 6.0
-        await asyncio.sleep(faults.QUIET_END_S)
+        await asyncio.sleep(RESTLESS_S)
+        for sender in senders:
+            sender.calm = True
+        await asyncio.sleep(faults.QUIET_END_S - RESTLESS_S)
         exit_watch.cancel()
         for task in traffic_tasks:
             task.cancel()
@@ -233,6 +239,7 @@
             self.seed,
             self.outcomes,
         )
+        probe.calm = True
         served = 0
         while served < 10:
             await probe.send_one()
@@ -256,8 +263,8 @@
             case faults.KillControl():
                 names = [f"control-{n}" for n in range(CONTROLS)]
                 await self._kill(names, fault.for_s)
-            case faults.Stop(process=name):
-                await self._stop(name)
+            case faults.Stop():
+                await self._stop(fault)
             case faults.Freeze(process=name):
                 self.fleet.signal(name, signal.SIGSTOP)
                 await asyncio.sleep(fault.for_s)
@@ -276,8 +283,13 @@
             case faults.Break(link=name, silent=silent):
                 for link in self.links[name]:
                     link.silence() if silent else link.reset()
-        if not isinstance(fault, faults.Stop | faults.HangUp):
-            self.fault_spans.append((from_s, time.monotonic()))
+        if isinstance(fault, faults.Stop | faults.HangUp):
+            return
+        lasting = isinstance(fault, faults.Break) and fault.silent
+        self.fault_spans += [
+            checks.FaultSpan(name, from_s, time.monotonic(), lasting)
+            for name in faults.affected(fault, sorted(self.links))
+        ]
 
     async def _kill(self, names, for_s, *, wiped=False, torn_bytes=0):
         self._expected_down.update(names)
@@ -306,10 +318,11 @@
                 with log.open("ab") as file:
                     file.write(b"\x00" * torn_bytes)
 
-    async def _stop(self, name):
+    async def _stop(self, fault):
+        name = fault.process
         self._expected_down.add(name)
         from_s = time.monotonic()
-        self.fleet.signal(name, signal.SIGTERM)
+        signaling = asyncio.create_task(self._send_signals(fault, from_s))
         try:
             await asyncio.to_thread(self.fleet.wait_ended, name, STOP_S_MAX)
         except Exception:
@@ -318,6 +331,7 @@
             )
             self.fleet.signal(name, signal.SIGKILL)
             await asyncio.to_thread(self.fleet.wait_ended, name)
+        signaling.cancel()
         to_s = time.monotonic()
         self.exit_times_s.setdefault(name, []).append(to_s)
         if name in self.entry_names:
@@ -325,6 +339,18 @@
         self.start(name)
         self._expected_down.discard(name)
 
+    async def _send_signals(self, fault, from_s):
+        name = fault.process
+        for after_s, number in fault.signals:
+            await asyncio.sleep(from_s + after_s - time.monotonic())
+            self.fleet.signal(name, number)
+            if number == signal.SIGSTOP:
+                frozen_s = time.monotonic()
+            elif number == signal.SIGCONT:
+                self.fault_spans.append(
+                    checks.FaultSpan(name, frozen_s, time.monotonic())
+                )
+
     async def _watch_exits(self):
         """Record processes that end without being stopped by the run."""
         reported = set()
@@ -341,13 +367,14 @@
             await asyncio.sleep(0.05)
 
     async def _check(self, operator, quiet_s):
-        runs, holds = checks.read_events(
+        runs, drops, holds = checks.read_events(
             {name: self.fleet.logs[name] for name in self.target_names}
         )
         violations = list(self.exit_violations)
         violations += checks.check(
             self.outcomes,
             runs,
+            drops,
             holds,
             self.exit_times_s,
             self.planned_stops,
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -10,6 +10,7 @@
 # Seed, seconds, processes, and the cause of the failure or the purpose.
 RUNS = [
     (1, 22.0, 10, "a short run for every change"),
+    (14, 26.0, 10, "a stop closed the connections of unanswered requests"),
 ]
 
 
