Feed a target the rest of a body while its answer is streamed

Callers saw: an upload cut short at a target that answers while it reads.

Cause: an attempt stopped feeding the request body as soon as the start of a large answer had been read. The feed now goes on until the transfer ends.

test_a_target_that_answers_while_it_reads_gets_the_whole_body failed before with a time-out.

--- a/src/goldcrestproxy/entries/replay.py
+++ b/src/goldcrestproxy/entries/replay.py
@@ -47,6 +47,11 @@
             await self._read()
         return self._ended
 
+    def cancel_feed(self) -> None:
+        """Stop feeding the last attempt, without waiting for it."""
+        if self._feed_task is not None:
+            self._feed_task.cancel()
+
     async def stop_feed(self) -> None:
         """Stop feeding the last attempt."""
         if self._feed_task is not None:
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -148,12 +148,14 @@
             if answer is None:
                 transfer.cancel()
             if answer is not None and answer.remaining_body is not None:
+                # The target may still be reading the request body.
                 transfer_task.add_done_callback(
                     lambda _: target.stats.record_end()
                 )
+                transfer_task.add_done_callback(lambda _: body.cancel_feed())
             else:
                 target.stats.record_end()
-            await body.stop_feed()
+                await body.stop_feed()
 
     async def _read(
         self,
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import re
 import time
 
@@ -342,3 +343,41 @@
 
     raw_answer = OK_HEAD + b"Content-Length: 2\r\n\r\nok"
     run(answering(raw_answer), scenario)
+
+
+def test_a_target_that_answers_while_it_reads_gets_the_whole_body():
+    """The answer is streamed before the end of the request body."""
+    sent = random.Random(1).randbytes(2 * 1024 * 1024)
+
+    async def echo(server, number, reader, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(sent)
+        )
+        left_bytes = len(sent)
+        while left_bytes:
+            chunk = await reader.read(65536)
+            left_bytes -= len(chunk)
+            writer.write(chunk)
+            await writer.drain()
+        return False
+
+    async def scenario(attempts):
+        body = wire.Pipe()
+        request = attrs.evolve(
+            REQUEST, method="POST", body=body, body_bytes=len(sent)
+        )
+
+        async def write_body():
+            for at in range(0, len(sent), 65536):
+                await body.put(sent[at : at + 65536])
+            body.finish()
+
+        writing = asyncio.create_task(write_body())
+        async with asyncio.timeout(5):
+            answer = await attempts.send(5, request)
+            remaining = await answer.remaining_body.read_all(len(sent))
+        assert answer.body + remaining == sent
+        await writing
+
+    run(echo, scenario)
