Scale the last steps of a stop, and leave time for the last answers

A stop of less than 5.4 s ended its last requests while their targets were still allowed to answer, for example at 2.1 of 3 s, because the times before the exit were constants. They are shares of short stops now (StopTimes).

The wait has a minimum now, which is part of the time kept for the exit.

Connections of callers that are left are closed before the tasks are cancelled.

--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -9,6 +9,8 @@
 import signal
 import typing as ty
 
+import attrs
+
 from goldcrestproxy import control
 from goldcrestproxy.daemon import fleet_composition
 from goldcrestproxy.daemon import lifecycle
@@ -22,8 +24,13 @@
 BALANCER_NOTICE_S: ty.Final = 2.5
 # Part of stop_s that is reserved for the exit of the process.
 EXIT_RESERVE_S: ty.Final = 0.4
+EXIT_RESERVE_SHARE: ty.Final = 1 / 15
 # Time before that for the answers to requests that are still in flight.
 LAST_ANSWERS_S: ty.Final = 0.5
+LAST_ANSWERS_SHARE: ty.Final = 1 / 12
+LAST_ANSWERS_S_MIN: ty.Final = 0.15
+# Longest time to close idle connections of callers.
+CLOSE_CALLERS_S: ty.Final = 0.1
 SETTINGS_POLL_INTERVAL_S: ty.Final = 1.0
 # Longest time to wait for calls of targets and operators; it includes the
 # timeout of a call that is forwarded to the leader.
@@ -32,6 +39,30 @@
 CONTROL_LAST_ANSWERS_S: ty.Final = 0.1
 
 
+@attrs.frozen(kw_only=True)
+class StopTimes:
+    """Times of a planned stop, in seconds since its signal.
+
+    New requests are accepted until ``notice_s``, targets may answer until
+    ``serving_s``, and callers get the last answers until ``exit_s``.
+    """
+
+    notice_s: float
+    serving_s: float
+    exit_s: float
+
+    @classmethod
+    def of(cls, stop_s: float) -> StopTimes:
+        """Return the times for a process that is killed after ``stop_s``."""
+        exit_s = stop_s - min(EXIT_RESERVE_S, stop_s * EXIT_RESERVE_SHARE)
+        return cls(
+            notice_s=min(BALANCER_NOTICE_S, exit_s / 2),
+            serving_s=exit_s
+            - min(LAST_ANSWERS_S, stop_s * LAST_ANSWERS_SHARE),
+            exit_s=exit_s,
+        )
+
+
 async def run(
     daemon: fleet_composition.FleetDaemon, settings_file: pathlib.Path
 ) -> None:
@@ -131,11 +162,11 @@
     LOG.info("daemon: stopping; readiness checks fail from now on")
     gate, dispatcher = daemon.entry.gate, daemon.entry.dispatcher
     gate.announce_stop()
-    started_s = asyncio.get_running_loop().time()
-    remaining_s = daemon.fleet_settings.stop_s - EXIT_RESERVE_S
-    serving_s = remaining_s - min(LAST_ANSWERS_S, remaining_s / 4)
-    dispatcher.limit_deadlines(serving_s)
-    await asyncio.sleep(min(BALANCER_NOTICE_S, remaining_s / 2))
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    times = StopTimes.of(daemon.fleet_settings.stop_s)
+    dispatcher.limit_deadlines(times.serving_s)
+    await asyncio.sleep(times.notice_s)
     for listener in _caller_listeners(daemon):
         listener.server.stop()
     # Further requests on open connections are refused as not run, because
@@ -143,20 +174,21 @@
     gate.close()
     LOG.info("daemon: waiting for %d requests in flight", gate.in_flight)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout_at(started_s + serving_s):
+        async with asyncio.timeout_at(started_s + times.serving_s):
             await gate.wait_empty()
     if gate.in_flight:
-        LOG.warning(
-            "daemon: ending %d requests that their targets did not answer",
-            gate.in_flight,
-        )
+        LOG.warning("daemon: ending %d requests in flight", gate.in_flight)
         dispatcher.end_all()
+    # The event loop may be late; the answers need a few of its turns.
+    exit_s = max(started_s + times.exit_s, loop.time() + LAST_ANSWERS_S_MIN)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout_at(started_s + remaining_s):
+        async with asyncio.timeout_at(exit_s):
             await gate.wait_empty()
-            await _close_callers(daemon)
     if gate.in_flight:
         LOG.warning("daemon: exit cuts %d requests", gate.in_flight)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_CALLERS_S):
+            await _close_callers(daemon)
 
 
 async def _stop_control(
@@ -204,7 +236,7 @@
 
 
 async def _close_callers(daemon: fleet_composition.FleetDaemon) -> None:
-    """Close idle caller connections; call when no request is in flight."""
+    """Close all connections of callers."""
     for listener in _caller_listeners(daemon):
         await listener.server.close_all_connections()
 
--- a/tests/daemon/test_fleet_running.py
+++ b/tests/daemon/test_fleet_running.py
@@ -6,6 +6,8 @@
 import types
 from unittest import mock
 
+import pytest
+
 from goldcrestproxy import callers
 from goldcrestproxy.daemon import fleet_running
 from goldcrestproxy import errors
@@ -115,3 +117,38 @@
 
     asyncio.run(scenario())
     assert accepted == []
+
+
+@pytest.mark.parametrize("stop_s", [1.0, 2.0, 3.0, 5.0, 6.0, 10.0, 60.0])
+def test_targets_may_answer_until_the_last_sixth_of_a_stop(stop_s):
+    times = fleet_running.StopTimes.of(stop_s)
+    assert stop_s * 5 / 6 <= times.serving_s < times.exit_s < stop_s
+    assert times.notice_s <= min(fleet_running.BALANCER_NOTICE_S, stop_s / 2)
+
+
+@pytest.mark.parametrize("in_flight", [0, 1])
+def test_requests_are_ended_only_if_they_outlast_the_stop(
+    monkeypatch, in_flight
+):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.01)
+    gate = callers.Gate()
+    entry = entry_of(gate)
+    entry.dispatcher.end_all.side_effect = gate.leave
+
+    async def scenario():
+        for _ in range(in_flight):
+            gate.enter()
+        started_s = asyncio.get_running_loop().time()
+        await fleet_running._stop(
+            types.SimpleNamespace(
+                entry=entry,
+                fleet_settings=types.SimpleNamespace(stop_s=1.0),
+                listeners=[],
+            )
+        )
+        return asyncio.get_running_loop().time() - started_s
+
+    elapsed_s = asyncio.run(scenario())
+    assert entry.dispatcher.end_all.call_count == in_flight
+    serving_s = fleet_running.StopTimes.of(1.0).serving_s
+    assert (elapsed_s >= serving_s) == bool(in_flight)
