Never let an unfinished answer or a closed connection pass as complete

Found by a review of the answers during request bodies and at a stop:

- A streamed answer of unknown length that the exit cuts was ended by Tornado with the last chunk, so that it looked complete.
Its connection is closed now whatever interrupts it.
- '100 Continue' could follow the final answer of a request with Expect: 100-continue, as bytes that belong to no request.
It is sent before the request is dispatched.
- Tornado parses a request that it has read even if the connection was closed after the answer before it; such a request was forwarded and never answered.
It is not taken now.
- A body above the platform's limit got an answer and then a second one, 400.
It is refused as too large.

--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -44,13 +44,22 @@
     def enter_gate(self) -> None:
         """Count the request as in flight until its answer is written.
 
-        :raises RefusedError: if the host accepts no more requests
+        :raises RefusedError: if the host accepts no more requests, or if the
+            connection was closed: Tornado still parses what it has read
         """
+        if self._stream().closed():
+            raise results.refusal(
+                results.STOPPING, "the connection was closed"
+            )
         self._gate.enter()
         self._entered_gate = True
 
     def start(self, work: ty.Coroutine[ty.Any, ty.Any, ty.Any]) -> None:
         """Start forwarding the request; ``work`` returns the answer."""
+        if self._awaits_continue():
+            # Tornado would do this later, possibly after the answer.
+            self._stream().write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            del self.request.headers["Expect"]
         self._answer_task = asyncio.create_task(work)
         if self._request_body is not None:
             # The answer may be available before the whole request body.
@@ -59,7 +68,7 @@
     async def refuse(self, error: errors.RefusedError) -> None:
         """Refuse the request without waiting for its body."""
         self.send_refusal(error)
-        if self.request.headers.get("Expect", "").lower() == "100-continue":
+        if self._awaits_continue():
             # Otherwise Tornado would ask for the body after the refusal.
             await self.finish()
             return
@@ -67,6 +76,11 @@
         connection.set_max_body_size(sys.maxsize)
         await self._flush_before_request_body_ends()
 
+    def _awaits_continue(self) -> bool:
+        """Whether the caller sends the body only when it is asked for it."""
+        expect = self.request.headers.get("Expect", "")
+        return expect.lower() == "100-continue"
+
     def send_refusal(self, error: errors.RefusedError) -> None:
         """Write a refusal as the answer."""
         raise NotImplementedError
@@ -121,12 +135,11 @@
     async def _discard(self, chunk: bytes) -> None:
         """Discard a chunk that comes after the answer.
 
-        Beyond ``DISCARDED_BYTES_MAX`` the request is finished, which closes
-        the connection.
+        Beyond ``DISCARDED_BYTES_MAX`` the connection is closed.
         """
         self._discarded_bytes += len(chunk)
-        if self._discarded_bytes > DISCARDED_BYTES_MAX and not self._finished:
-            await self.finish()
+        if self._discarded_bytes > DISCARDED_BYTES_MAX:
+            self.close_connection()
 
     def set_default_headers(self) -> None:
         """Remove Tornado's default headers: only the target's are sent."""
@@ -172,6 +185,10 @@
                 error,
             )
             self.close_connection()
+        except BaseException:
+            # Otherwise Tornado would end a chunked answer as complete.
+            self.close_connection()
+            raise
 
     def close_connection(self) -> None:
         """Close the connection without sending anything further."""
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -69,6 +69,12 @@
         connection = ty.cast(ty.Any, self.request.connection)
         connection.set_max_body_size(BODY_BYTES_MAX)
         body_bytes = callers.body_bytes(headers)
+        if body_bytes > BODY_BYTES_MAX:
+            raise results.refusal(
+                results.BODY_TOO_LARGE,
+                f"the body has {body_bytes} bytes; {BODY_BYTES_MAX} are "
+                "allowed",
+            )
         self._request_body = wire.Pipe() if body_bytes else None
         return entries.FleetRequest(
             request_id=headers.get(conventions.REQUEST_ID, ""),
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import time
 import types
 
 import pytest
@@ -39,6 +40,7 @@
         self.ready.set()
         self.ended = False
         self.request = None
+        self.dispatched = 0
         self._outcome = outcome
         self._has_route = has_route
 
@@ -49,6 +51,7 @@
 
     async def dispatch(self, request, route):
         self.request = request
+        self.dispatched += 1
         await self.ready.wait()
         if isinstance(self._outcome, Exception):
             raise self._outcome
@@ -222,15 +225,29 @@
         async with host.running():
             reader, writer = await host.connect()
             writer.write(head_of("POST", 10, "Expect: 100-continue"))
-            head = await reader.readuntil(b"\r\n\r\n")
-            if head.startswith(b"HTTP/1.1 100 "):
-                head = await reader.readuntil(b"\r\n\r\n")
-            assert head.startswith(b"HTTP/1.1 503 ")
-            writer.write(bytes(10))
-            with contextlib.suppress(ConnectionError, TimeoutError):
+            if has_route:
+                interim = await reader.readuntil(b"\r\n\r\n")
+                assert interim.startswith(b"HTTP/1.1 100 ")
+            assert (await read_answer(reader))[0] == 503
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.2):
-                    rest = await reader.read()
-                    assert b"HTTP/1.1" not in rest
+                    assert await reader.read(1) == b""
+            writer.close()
+
+    play(scenario)
+
+
+def test_an_expected_continue_is_sent_once():
+    async def scenario():
+        host = Host(FakeDispatcher(answer_of(b"done")))
+        async with host.running():
+            reader, writer = await host.connect()
+            for _ in range(2):
+                writer.write(head_of("POST", 10, "Expect: 100-continue"))
+                interim = await reader.readuntil(b"\r\n\r\n")
+                assert interim.startswith(b"HTTP/1.1 100 ")
+                writer.write(bytes(10))
+                assert (await read_answer(reader))[2] == b"done"
             writer.close()
 
     play(scenario)
@@ -336,3 +353,78 @@
             writer.close()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("body_bytes", [0, 100])
+def test_a_streamed_answer_cut_by_the_exit_does_not_look_complete(
+    monkeypatch, body_bytes
+):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
+    remaining = wire.Pipe()
+    remaining.feed(b"middle")
+    answer = entries.FleetAnswer(
+        status=200, headers=(), body=b"start", remaining_body=remaining
+    )
+    received = bytearray()
+
+    async def scenario():
+        host = Host(FakeDispatcher(answer))
+        async with host.running():
+            reader, writer = await host.connect()
+            method = "POST" if body_bytes else "GET"
+            writer.write(head_of(method, body_bytes))
+
+            async def receive():
+                while chunk := await reader.read(65536):
+                    received.extend(chunk)
+
+            receiving = asyncio.create_task(receive())
+            await asyncio.sleep(0.1)
+            await host.stop(1.0)
+            await receiving
+            writer.close()
+
+    play(scenario)
+    assert b"middle" in received
+    assert b"0\r\n\r\n" not in received
+
+
+def test_a_request_read_from_a_closed_connection_is_not_taken():
+    async def scenario():
+        dispatcher = FakeDispatcher(answer_of(b"done"))
+        host = Host(dispatcher)
+        host.gate.announce_stop()
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("GET") + head_of("GET"))
+            assert (await read_answer(reader))[2] == b"done"
+            assert await reader.read() == b""
+            await asyncio.sleep(0.05)
+            assert dispatcher.dispatched == 1
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_late_event_loop_at_the_end_of_a_stop_cuts_no_answer(monkeypatch):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
+
+    async def scenario():
+        dispatcher = FakeDispatcher(NOT_RUN)
+        dispatcher.ready.clear()
+        host = Host(dispatcher)
+        async with host.running():
+            streams = [await host.connect() for _ in range(30)]
+            for _, writer in streams:
+                writer.write(head_of("GET"))
+            await asyncio.sleep(0.1)
+            times = fleet_running.StopTimes.of(1.5)
+            loop = asyncio.get_running_loop()
+            late_s = times.exit_s - times.serving_s + 0.1
+            loop.call_later(times.serving_s - 0.02, time.sleep, late_s)
+            await host.stop(1.5)
+            for reader, writer in streams:
+                assert (await read_answer(reader))[0] == 503
+                writer.close()
+
+    play(scenario)
