--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import sys
 import typing as ty
 
 from tornado import escape
@@ -20,6 +21,8 @@
 LOG = logging.getLogger(__name__)
 
 STATUSES_WITHOUT_BODY: ty.Final = (204, 304)
+# Part of a request body that is read after the answer was sent.
+DISCARDED_BYTES_MAX: ty.Final = 32 * 1024 * 1024
 
 
 @web.stream_request_body
@@ -36,17 +39,27 @@
     _answer_task: asyncio.Task[ty.Any] | None = None
     _delivery_task: asyncio.Task[None] | None = None
     _entered_gate = False
+    _discarded_bytes = 0
 
     def enter_gate(self) -> None:
         """Count the request as in flight until its answer is written.
 
-        :raises RefusedError: if the host accepts no more requests
+        :raises RefusedError: if the host accepts no more requests, or if the
+            connection was closed: Tornado still parses what it has read
         """
+        if self._stream().closed():
+            raise results.refusal(
+                results.STOPPING, "the connection was closed"
+            )
         self._gate.enter()
         self._entered_gate = True
 
     def start(self, work: ty.Coroutine[ty.Any, ty.Any, ty.Any]) -> None:
         """Start forwarding the request; ``work`` returns the answer."""
+        if self._awaits_continue():
+            # Tornado would do this later, possibly after the answer.
+            self._stream().write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            del self.request.headers["Expect"]
         self._answer_task = asyncio.create_task(work)
         if self._request_body is not None:
             # The answer may be available before the whole request body.
@@ -55,14 +68,18 @@
     async def refuse(self, error: errors.RefusedError) -> None:
         """Refuse the request without waiting for its body."""
         self.send_refusal(error)
-        awaits_continue = (
-            self.request.headers.get("Expect", "").lower() == "100-continue"
-        )
-        if awaits_continue or error.code == results.BODY_TOO_LARGE:
-            # Closes the connection instead of reading the body.
+        if self._awaits_continue():
+            # Otherwise Tornado would ask for the body after the refusal.
             await self.finish()
-        else:
-            await self._flush_before_request_body_ends()
+            return
+        connection = ty.cast(ty.Any, self.request.connection)
+        connection.set_max_body_size(sys.maxsize)
+        await self._flush_before_request_body_ends()
+
+    def _awaits_continue(self) -> bool:
+        """Whether the caller sends the body only when it is asked for it."""
+        expect = self.request.headers.get("Expect", "")
+        return expect.lower() == "100-continue"
 
     def send_refusal(self, error: errors.RefusedError) -> None:
         """Write a refusal as the answer."""
@@ -100,18 +117,29 @@
 
     async def data_received(self, chunk: bytes) -> None:
         """Forward a chunk of the request body; wait if the pipe is full."""
-        if self._request_body is None or self._answer_task is None:
+        if self._delivery_task is None or self._delivery_task.done():
+            await self._discard(chunk)
             return
-        if self._request_body.full and not self._request_body.ended:
-            put_task = asyncio.create_task(self._request_body.put(chunk))
-            # Once the answer is available, the rest of the body is not read.
+        body = ty.cast(wire.Pipe, self._request_body)
+        if body.full and not body.ended:
+            put_task = asyncio.create_task(body.put(chunk))
+            # Nobody reads the body once the answer has been delivered.
             await asyncio.wait(
-                {put_task, self._answer_task},
+                {put_task, self._delivery_task},
                 return_when=asyncio.FIRST_COMPLETED,
             )
             put_task.cancel()
             return
-        self._request_body.feed(chunk)
+        body.feed(chunk)
+
+    async def _discard(self, chunk: bytes) -> None:
+        """Discard a chunk that comes after the answer.
+
+        Beyond ``DISCARDED_BYTES_MAX`` the connection is closed.
+        """
+        self._discarded_bytes += len(chunk)
+        if self._discarded_bytes > DISCARDED_BYTES_MAX:
+            self.close_connection()
 
     def set_default_headers(self) -> None:
         """Remove Tornado's default headers: only the target's are sent."""
@@ -157,6 +185,10 @@
                 error,
             )
             self.close_connection()
+        except BaseException:
+            # Otherwise Tornado would end a chunked answer as complete.
+            self.close_connection()
+            raise
 
     def close_connection(self) -> None:
         """Close the connection without sending anything further."""
--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -9,10 +9,12 @@
 import signal
 import typing as ty
 
+import attrs
+
+from goldcrestproxy import control
 from goldcrestproxy.daemon import fleet_composition
 from goldcrestproxy.daemon import lifecycle
 from goldcrestproxy.daemon import listening
-from goldcrestproxy import errors
 from goldcrestproxy import settings
 
 LOG = logging.getLogger(__name__)
@@ -22,9 +24,43 @@
 BALANCER_NOTICE_S: ty.Final = 2.5
 # Part of stop_s that is reserved for the exit of the process.
 EXIT_RESERVE_S: ty.Final = 0.4
+EXIT_RESERVE_SHARE: ty.Final = 1 / 15
 # Time before that for the answers to requests that are still in flight.
 LAST_ANSWERS_S: ty.Final = 0.5
+LAST_ANSWERS_SHARE: ty.Final = 1 / 12
+LAST_ANSWERS_S_MIN: ty.Final = 0.15
+# Longest time to close idle connections of callers.
+CLOSE_CALLERS_S: ty.Final = 0.1
 SETTINGS_POLL_INTERVAL_S: ty.Final = 1.0
+# Longest time to wait for calls of targets and operators; it includes the
+# timeout of a call that is forwarded to the leader.
+CONTROL_CALLS_S: ty.Final = 1.0
+# Time after that for the answers to calls that are still in flight.
+CONTROL_LAST_ANSWERS_S: ty.Final = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class StopTimes:
+    """Times of a planned stop, in seconds since its signal.
+
+    New requests are accepted until ``notice_s``, targets may answer until
+    ``serving_s``, and callers get the last answers until ``exit_s``.
+    """
+
+    notice_s: float
+    serving_s: float
+    exit_s: float
+
+    @classmethod
+    def of(cls, stop_s: float) -> StopTimes:
+        """Return the times for a process that is killed after ``stop_s``."""
+        exit_s = stop_s - min(EXIT_RESERVE_S, stop_s * EXIT_RESERVE_SHARE)
+        return cls(
+            notice_s=min(BALANCER_NOTICE_S, exit_s / 2),
+            serving_s=exit_s
+            - min(LAST_ANSWERS_S, stop_s * LAST_ANSWERS_SHARE),
+            exit_s=exit_s,
+        )
 
 
 async def run(
@@ -52,8 +88,10 @@
         daemon.host_settings.zone,
         ",".join(daemon.host_settings.roles),
     )
-    await lifecycle.run_until(stop, tasks, lambda: _stop(daemon))
-    _close(daemon)
+    try:
+        await lifecycle.run_until(stop, tasks, lambda: _stop_roles(daemon))
+    finally:
+        _close(daemon)
     LOG.info("daemon: stopped")
 
 
@@ -68,29 +106,49 @@
 async def _watch_settings(file: pathlib.Path, reload: asyncio.Event) -> None:
     """Validate the settings file when it changes or ``reload`` is set.
 
-    Changes take effect only after a restart.
+    Changes take effect only after a restart. The file may be read while it
+    is being written, so no content of it is an error.
     """
-    current_text = file.read_text(encoding="utf-8")
+    current = seen = _content(file)
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
         reload_requested = reload.is_set()
         reload.clear()
+        previous, seen = seen, _content(file)
+        if seen == previous and not reload_requested:
+            continue
+        if seen == current:
+            LOG.info("daemon: settings file reloaded, unchanged")
+            continue
         try:
-            text = file.read_text(encoding="utf-8")
-            if text == current_text:
-                if reload_requested:
-                    LOG.info("daemon: settings file reloaded, unchanged")
-                continue
             settings.load_host_settings(file)
-        except (OSError, errors.SettingsError) as error:
+        except Exception as error:
             LOG.warning("daemon: keeping the current settings: %s", error)
             continue
-        current_text = text
+        current = seen
         LOG.info("daemon: settings changed; restart to apply the changes")
 
 
+def _content(file: pathlib.Path) -> bytes | None:
+    """Return the content of a file, None if it cannot be read."""
+    try:
+        return file.read_bytes()
+    except OSError:
+        return None
+
+
+async def _stop_roles(daemon: fleet_composition.FleetDaemon) -> None:
+    await _stop(daemon)
+    if daemon.control_service is None:
+        return
+    timeout_s = min(CONTROL_CALLS_S, daemon.fleet_settings.stop_s / 2)
+    if daemon.entry is not None:
+        timeout_s = EXIT_RESERVE_S / 4
+    await _stop_control(daemon, daemon.control_service, timeout_s)
+
+
 async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
     """Stop with an answer or a refusal for each request.
 
@@ -104,11 +162,11 @@
     LOG.info("daemon: stopping; readiness checks fail from now on")
     gate, dispatcher = daemon.entry.gate, daemon.entry.dispatcher
     gate.announce_stop()
-    started_s = asyncio.get_running_loop().time()
-    remaining_s = daemon.fleet_settings.stop_s - EXIT_RESERVE_S
-    serving_s = remaining_s - min(LAST_ANSWERS_S, remaining_s / 4)
-    dispatcher.limit_deadlines(serving_s)
-    await asyncio.sleep(min(BALANCER_NOTICE_S, remaining_s / 2))
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    times = StopTimes.of(daemon.fleet_settings.stop_s)
+    dispatcher.limit_deadlines(times.serving_s)
+    await asyncio.sleep(times.notice_s)
     for listener in _caller_listeners(daemon):
         listener.server.stop()
     # Further requests on open connections are refused as not run, because
@@ -116,20 +174,55 @@
     gate.close()
     LOG.info("daemon: waiting for %d requests in flight", gate.in_flight)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout_at(started_s + serving_s):
+        async with asyncio.timeout_at(started_s + times.serving_s):
             await gate.wait_empty()
     if gate.in_flight:
-        LOG.warning(
-            "daemon: ending %d requests that their targets did not answer",
-            gate.in_flight,
-        )
+        LOG.warning("daemon: ending %d requests in flight", gate.in_flight)
         dispatcher.end_all()
+    # The event loop may be late; the answers need a few of its turns.
+    exit_s = max(started_s + times.exit_s, loop.time() + LAST_ANSWERS_S_MIN)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout_at(started_s + remaining_s):
+        async with asyncio.timeout_at(exit_s):
             await gate.wait_empty()
-            await _close_callers(daemon)
     if gate.in_flight:
         LOG.warning("daemon: exit cuts %d requests", gate.in_flight)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_CALLERS_S):
+            await _close_callers(daemon)
+
+
+async def _stop_control(
+    daemon: fleet_composition.FleetDaemon,
+    service: control.ControlService,
+    timeout_s: float,
+) -> None:
+    """Stop with an answer or a refusal for each call of the control role.
+
+    Calls that other control hosts have forwarded are included. A leader
+    keeps replicating, since changes in flight need it.
+    """
+    gate = daemon.control_gate
+    listeners = [
+        listener
+        for listener in daemon.listeners
+        if listener.setting == "fleet.registrants"
+    ]
+    for listener in listeners:
+        listener.server.stop()
+    gate.announce_stop()
+    gate.close()
+    LOG.info("daemon: waiting for %d control calls in flight", gate.in_flight)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await gate.wait_empty()
+    if gate.in_flight:
+        LOG.warning("daemon: ending %d control calls", gate.in_flight)
+        service.replica.fail_pending_proposals()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONTROL_LAST_ANSWERS_S):
+            await gate.wait_empty()
+            for listener in listeners:
+                await listener.server.close_all_connections()
 
 
 def _caller_listeners(
@@ -143,7 +236,7 @@
 
 
 async def _close_callers(daemon: fleet_composition.FleetDaemon) -> None:
-    """Close idle caller connections; call when no request is in flight."""
+    """Close all connections of callers."""
     for listener in _caller_listeners(daemon):
         await listener.server.close_all_connections()
 
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -15,7 +15,9 @@
 from goldcrestproxy.entries import control_link
 from goldcrestproxy.entries import fingerprints
 from goldcrestproxy.entries import hedging
+from goldcrestproxy.entries import refusals
 from goldcrestproxy.entries import replay
+from goldcrestproxy.entries import running_requests
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import classification
@@ -31,6 +33,8 @@
 TARGET_WAIT_S: ty.Final = 2.0
 MAP_WAIT_S: ty.Final = 0.05
 DIGESTED_BYTES_MAX: ty.Final = 64 * 1024
+# Another entry host can take the request at once.
+STOPPING_RETRY_AFTER_MS: ty.Final = 100
 
 
 class Router:
@@ -62,6 +66,7 @@
         self._budgets: dict[str, retry_budget.RetryTokenBucket] = {}
         self._views: dict[str, power_of_two.TargetMeasurements] = {}
         self._hedge_delays = hedging.HedgeDelays()
+        self._running = running_requests.RunningRequests()
 
     def classify(
         self, method: str, request_target: str
@@ -85,6 +90,22 @@
         :raises RefusedError: with a result code, whose outcome says whether
             the request ran
         """
+        progress = attempts.Progress()
+        return await self._running.run(
+            self._route(request, classified, progress),
+            lambda: _refuse_at_stop(progress),
+        )
+
+    def end_all(self) -> None:
+        """End the requests in flight, each with a refusal."""
+        self._running.end_all()
+
+    async def _route(
+        self,
+        request: caller_request.CallerRequest,
+        classified: classification.ClassifiedRequest,
+        progress: attempts.Progress,
+    ) -> caller_request.RoutedAnswer:
         started_s = self._clock()
         deadline_ms = min(
             request.deadline_ms or classified.route.deadline_ms,
@@ -97,12 +118,18 @@
                 classified,
                 started_s + deadline_ms / 1000,
                 span.trace_parent,
+                progress,
             )
-            if request.idempotency_key and not plan.may_repeat:
-                return await self._claimer.run_once(
-                    plan, lambda: self._run_with_retries(plan)
-                )
-            return await self._run_with_retries(plan)
+            try:
+                if request.idempotency_key and not plan.may_repeat:
+                    return await self._claimer.run_once(
+                        plan, lambda: self._run_with_retries(plan)
+                    )
+                return await self._run_with_retries(plan)
+            except errors.RefusedError as error:
+                raise refusals.after_run(
+                    error, may_have_run=progress.possible_runs > 0
+                ) from None
 
     async def _plan(
         self,
@@ -110,11 +137,12 @@
         classified: classification.ClassifiedRequest,
         deadline_s: float,
         trace_parent: str,
+        progress: attempts.Progress,
     ) -> attempts.RequestPlan:
         body = replay.ReplayableBody(request.body)
         digest = ""
         if 0 < request.body_bytes <= DIGESTED_BYTES_MAX:
-            await body.read_ahead(DIGESTED_BYTES_MAX)
+            await self._read_ahead(body, deadline_s)
             digest = fingerprints.body_digest(body.buffered)
         return attempts.RequestPlan(
             request=request,
@@ -124,8 +152,25 @@
             body=body,
             body_digest=digest,
             trace_parent=trace_parent,
+            progress=progress,
         )
 
+    async def _read_ahead(
+        self, body: replay.ReplayableBody, deadline_s: float
+    ) -> None:
+        """Buffer a small body.
+
+        :raises RefusedError: if it does not arrive within the deadline
+        """
+        try:
+            async with asyncio.timeout(deadline_s - self._clock()):
+                await body.read_ahead(DIGESTED_BYTES_MAX)
+        except TimeoutError:
+            raise results.refusal(
+                results.DEADLINE_NOT_RUN,
+                "the body did not arrive within the deadline",
+            ) from None
+
     async def _run_with_retries(
         self, plan: attempts.RequestPlan
     ) -> caller_request.RoutedAnswer:
@@ -321,3 +366,17 @@
             )
             self._budgets[classified.customer] = retry_tokens
         return retry_tokens
+
+
+def _refuse_at_stop(progress: attempts.Progress) -> ty.NoReturn:
+    """Raise the refusal of a request that the end of a stop ended."""
+    if progress.possible_runs:
+        raise results.refusal(
+            results.OUTCOME_UNKNOWN,
+            "this entry host stopped before a target answered",
+        )
+    raise results.refusal(
+        results.STOPPING,
+        "this entry host is stopping",
+        STOPPING_RETRY_AFTER_MS,
+    )
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import typing as ty
 
 import pycurl
@@ -16,6 +17,8 @@
 from goldcrestproxy import targets
 from goldcrestproxy import wire
 
+LOG = logging.getLogger(__name__)
+
 # Answers up to this size are buffered whole before any byte is forwarded, so
 # that a request whose answer breaks off can be retried.
 BUFFERED_ANSWER_BYTES_MAX: ty.Final = 64 * 1024
@@ -80,7 +83,7 @@
             seconds that it took to get a connection
         :raises SendError: when the attempt did not succeed
         """
-        left_ms = max(1, int((deadline_s - self._clock()) * 1000))
+        left_ms = max(1.0, (deadline_s - self._clock()) * 1000)
         pipe = wire.Pipe() if request.body is not None else None
         adaptive_timeout = self._client.adaptive_timeout
 
@@ -96,11 +99,12 @@
                 method=request.method,
                 path=request.request_target,
                 headers=self._conventions.request_headers(
-                    request.headers, target=target.name, left_ms=left_ms
+                    request.headers, target=target.name, left_ms=int(left_ms)
                 ),
                 body=pipe,
                 body_bytes=request.body_bytes,
                 timeout_ms=left_ms,
+                queue_reserve_ms=target.stats.answer_ms_min,
                 idle_s_max=(
                     IDEMPOTENT_IDLE_S_MAX
                     if idempotent
@@ -110,6 +114,7 @@
                     self._conventions.request_id_header,
                     request.request_id,
                 ),
+                deadline_header=self._conventions.deadline_header,
             ),
             may_send,
         )
@@ -126,20 +131,31 @@
             failure = _failure_of(transfer, error)
             if error.timed_out and error.stage is targets.Stage.NOT_SENT:
                 adaptive_timeout.record_timeout()
-            waited_ms = (self._clock() - started_s) * 1000
-            self._record_failure(transfer, target, request, failure, waited_ms)
+            waited_s = self._clock() - started_s - transfer.queued_s
+            self._record_failure(
+                transfer, target, request, failure, waited_s * 1000
+            )
             raise SendError(failure) from error
-        except asyncio.CancelledError:
-            transfer.cancel()
+        except SendError:
             raise
+        except Exception as error:
+            # A cancelled transfer is not sent later, so its stage is final.
+            transfer.cancel()
+            LOG.exception("entries: an answer of %s is unusable", target.name)
+            unusable = targets.TransferError(transfer.stage, 0, repr(error))
+            raise SendError(_failure_of(transfer, unusable)) from error
         finally:
+            if answer is None:
+                transfer.cancel()
             if answer is not None and answer.remaining_body is not None:
+                # The target may still be reading the request body.
                 transfer_task.add_done_callback(
                     lambda _: target.stats.record_end()
                 )
+                transfer_task.add_done_callback(lambda _: body.cancel_feed())
             else:
                 target.stats.record_end()
-            await body.stop_feed()
+                await body.stop_feed()
 
     async def _read(
         self,
@@ -172,7 +188,7 @@
                     and metadata.load.running >= metadata.load.slots,
                 )
             )
-        duration_ms = (now_s - started_s) * 1000
+        duration_ms = (now_s - started_s - transfer.queued_s) * 1000
         target.stats.record_answer(duration_ms)
         self._observations.record_answer(
             target.name, target.record.incarnation, duration_ms, metadata.load
@@ -204,7 +220,7 @@
         failure: fleet_retries.Failure,
         waited_ms: float,
     ) -> None:
-        if transfer.mismatched:
+        if transfer.mismatched or not transfer.started:
             return
         now_s = self._clock()
         match failure:
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -18,12 +18,20 @@
 from tornado import httputil
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import handles as transfer_handles
 from goldcrestproxy.wire import Pipe
 
 CONNECTION_IDLE_S_MAX: ty.Final = 5
 CONNECT_TIMEOUT_MS: ty.Final = 250
+# A transfer that is still queued this long before its deadline is not sent:
+# its refusal can then reach the caller in time. Less than the time that a
+# retry needs.
+QUEUE_RESERVE_S: ty.Final = 0.015
 # Lower (1xx) statuses are interim: a final status follows.
 FINAL_STATUS_MIN: ty.Final = 200
+STATUS_DIGITS: ty.Final = 3
+# Covers every length that libcurl accepts.
+LENGTH_DIGITS_MAX: ty.Final = 19
 
 
 class Stage(enum.Enum):
@@ -62,7 +70,9 @@
         if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
             return -1
         length = self.headers.get("Content-Length", "")
-        return int(length) if length.isdigit() else None
+        if not length.isdecimal() or len(length) > LENGTH_DIGITS_MAX:
+            return None
+        return int(length)
 
 
 class Transfer:
@@ -70,7 +80,7 @@
 
     def __init__(
         self,
-        client: curl_httpclient.CurlAsyncHTTPClient,
+        handles: transfer_handles.Handles,
         request: httpclient.HTTPRequest,
         *,
         body: Pipe | None,
@@ -80,9 +90,14 @@
         may_send: ty.Callable[[], bool],
         configure: ty.Callable[[pycurl.Curl], None] | None = None,
         expected_header: tuple[str, str] | None = None,
+        deadline_header: str | None = None,
+        queue_reserve_s: float = QUEUE_RESERVE_S,
     ) -> None:
         """Prepare a request.
 
+        Its ``request_timeout`` starts now and includes the time in the queue
+        for a handle.
+
         :param body: the request body, or None
         :param body_bytes: length of the body, -1 if unknown
         :param new_connection: do not reuse a connection
@@ -92,9 +107,15 @@
         :param configure: sets further options of the libcurl handle
         :param expected_header: a header and the value that the answer must
             carry; an answer without it belongs to another request
+        :param deadline_header: the request header, if it has one, that holds
+            the milliseconds left
+        :param queue_reserve_s: time before its time-out at which a transfer
+            that still waits for a handle fails
         """
         self._configure_more = configure
         self._expected_header = expected_header
+        self._deadline_header = deadline_header
+        self._queue_reserve_s = queue_reserve_s
         self.mismatched = False
         self.head: asyncio.Future[AnswerHead] = (
             asyncio.get_running_loop().create_future()
@@ -102,10 +123,18 @@
         self.answer_body = Pipe()
         self.stage = Stage.NOT_SENT
         self.reused = False
-        # Time from the start until the connection was established.
+        # Whether it got a handle.
+        self.started = False
+        # Time in the queue for a handle.
+        self.queued_s = 0.0
+        # Time from then until the connection was established.
         self.connect_s = 0.0
         self._started_s = time.monotonic()
-        self._client = client
+        timeout_s = ty.cast(float, request.request_timeout)
+        self._deadline_s = self._started_s + timeout_s
+        self._handles = handles
+        self._turn: asyncio.Future[None] | None = None
+        self._fetched: asyncio.Future[httpclient.HTTPResponse] | None = None
         self._request = request
         self._body = body
         self._body_bytes = body_bytes
@@ -126,9 +155,13 @@
         Sets ``head`` and ``answer_body`` to the answer, or to a TransferError.
         """
         self._request.prepare_curl_callback = self._configure_curl
+        if not await self._take_handle():
+            self._fail(0, "cancelled, or no handle became free in time")
+            return
+        self.started = True
         try:
-            # Still raises libcurl's errors, but none for an error status.
-            await self._client.fetch(self._request, raise_error=False)
+            self._fetched = self._handles.fetch(self._request)
+            await self._fetched
         except curl_httpclient.CurlError as error:
             self._fail(error.errno, str(error.message))
             return
@@ -143,12 +176,41 @@
     def cancel(self) -> None:
         """Abort the transfer and close its connection."""
         self._cancelled = True
+        if self._turn is not None:
+            self._turn.cancel()
         if self._curl is not None:
             # Pausing and unpausing makes libcurl run its progress callback,
             # which aborts the transfer.
             self._pause(pycurl.PAUSE_ALL)
             self._pause(pycurl.PAUSE_CONT)
 
+    async def _take_handle(self) -> bool:
+        """Take a handle; return False if cancelled or too late for it."""
+        if self._cancelled:
+            return False
+        turn = self._turn = self._handles.take()
+        if turn.done():
+            return True
+        queue_s = self._left_s() - self._queue_reserve_s
+        await asyncio.wait([turn], timeout=queue_s)
+        if not turn.done():
+            turn.cancel()
+        if turn.cancelled():
+            return False
+        left_s = self._left_s()
+        if self._cancelled or left_s < self._queue_reserve_s:
+            self._handles.give_back()
+            return False
+        self.queued_s = time.monotonic() - self._started_s
+        self._request.request_timeout = left_s
+        header = self._deadline_header
+        if header is not None and header in self._request.headers:
+            self._request.headers[header] = str(int(left_s * 1000))
+        return True
+
+    def _left_s(self) -> float:
+        return self._deadline_s - time.monotonic()
+
     def _fail(self, code: int, text: str) -> None:
         error = TransferError(self.stage, code, text)
         if not self.head.done():
@@ -188,7 +250,8 @@
     ) -> int:
         if self.stage is not Stage.NOT_SENT or self._cancelled:
             return pycurl.PREREQFUNC_ABORT
-        self.connect_s = time.monotonic() - self._started_s
+        elapsed_s = time.monotonic() - self._started_s
+        self.connect_s = elapsed_s - self.queued_s
         self.reused = local_port in self._used_ports
         self._used_ports.add(local_port)
         if not self._may_send():
@@ -203,7 +266,11 @@
         text = line.decode("latin1").rstrip("\r\n")
         if text.startswith("HTTP/"):
             self._headers.clear()
-            self._status = int(text.split(" ", 2)[1])
+            status = text.split(" ", 2)[1]
+            if len(status) != STATUS_DIGITS:
+                # libcurl reads only the first digits. Abort, see below.
+                return -1
+            self._status = int(status)
         elif text:
             self._headers.parse_line(text)
         elif not self._is_expected_answer():
@@ -268,6 +335,9 @@
     def _pause(self, flags: int) -> None:
         if self._curl is None:
             return
+        if self._fetched is not None and self._fetched.done():
+            # Another transfer may use the handle already.
+            return
         try:
             self._curl.pause(flags)
         except pycurl.error:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import contextlib
+import random
+import time
 import types
 
 import pytest
@@ -14,14 +16,17 @@
 from tornado import web
 
 from goldcrestproxy import callers
+from goldcrestproxy.callers import streaming
 from goldcrestproxy.daemon import fleet_running
 from goldcrestproxy import entries
 from goldcrestproxy import platform
 from goldcrestproxy import results
 from goldcrestproxy import settings
 from goldcrestproxy import telemetry
+from goldcrestproxy import wire
 
 NOT_RUN = results.refusal(results.NO_TARGET, "no target answers", 200)
+TOO_LARGE = results.refusal(results.BODY_TOO_LARGE, "1 byte is allowed")
 # More than the buffers of a loopback connection hold.
 LARGE_BYTES = 16 * 1024 * 1024
 TIMEOUT_S = 10.0
@@ -34,15 +39,19 @@
         self.ready = asyncio.Event()
         self.ready.set()
         self.ended = False
+        self.request = None
+        self.dispatched = 0
         self._outcome = outcome
         self._has_route = has_route
 
     def find_route(self, request):
         if not self._has_route:
-            raise NOT_RUN
+            raise self._outcome
         return "route"
 
     async def dispatch(self, request, route):
+        self.request = request
+        self.dispatched += 1
         await self.ready.wait()
         if isinstance(self._outcome, Exception):
             raise self._outcome
@@ -158,9 +167,12 @@
     play(scenario)
 
 
-def test_a_refusal_reaches_a_caller_that_sends_its_body_first():
+@pytest.mark.parametrize(
+    ("refusal", "status"), [(NOT_RUN, 503), (TOO_LARGE, 413)]
+)
+def test_a_refusal_reaches_a_caller_that_sends_its_body_first(refusal, status):
     async def scenario():
-        host = Host(FakeDispatcher(NOT_RUN, has_route=False))
+        host = Host(FakeDispatcher(refusal, has_route=False))
         async with host.running():
             reader, writer = await host.connect()
             writer.write(head_of("POST", LARGE_BYTES))
@@ -168,12 +180,31 @@
                 writer.write(bytes(LARGE_BYTES // 16))
                 await writer.drain()
                 await asyncio.sleep(0.02)
-            assert (await read_answer(reader))[0] == 503
+            assert (await read_answer(reader))[0] == status
             writer.close()
 
     play(scenario)
 
 
+def test_a_body_without_end_is_not_read_for_ever_after_a_refusal(monkeypatch):
+    monkeypatch.setattr(streaming, "DISCARDED_BYTES_MAX", 1 << 20)
+
+    async def scenario():
+        host = Host(FakeDispatcher(NOT_RUN, has_route=False))
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("POST", 0, "Transfer-Encoding: chunked"))
+            assert (await read_answer(reader))[0] == 503
+            chunk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+            with pytest.raises(ConnectionError):
+                while True:
+                    writer.write(chunk)
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+
+    play(scenario)
+
+
 def test_a_refused_request_without_a_body_keeps_its_connection():
     async def scenario():
         host = Host(FakeDispatcher(NOT_RUN, has_route=False))
@@ -194,15 +225,29 @@
         async with host.running():
             reader, writer = await host.connect()
             writer.write(head_of("POST", 10, "Expect: 100-continue"))
-            head = await reader.readuntil(b"\r\n\r\n")
-            if head.startswith(b"HTTP/1.1 100 "):
-                head = await reader.readuntil(b"\r\n\r\n")
-            assert head.startswith(b"HTTP/1.1 503 ")
-            writer.write(bytes(10))
-            with contextlib.suppress(ConnectionError, TimeoutError):
+            if has_route:
+                interim = await reader.readuntil(b"\r\n\r\n")
+                assert interim.startswith(b"HTTP/1.1 100 ")
+            assert (await read_answer(reader))[0] == 503
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.2):
-                    rest = await reader.read()
-                    assert b"HTTP/1.1" not in rest
+                    assert await reader.read(1) == b""
+            writer.close()
+
+    play(scenario)
+
+
+def test_an_expected_continue_is_sent_once():
+    async def scenario():
+        host = Host(FakeDispatcher(answer_of(b"done")))
+        async with host.running():
+            reader, writer = await host.connect()
+            for _ in range(2):
+                writer.write(head_of("POST", 10, "Expect: 100-continue"))
+                interim = await reader.readuntil(b"\r\n\r\n")
+                assert interim.startswith(b"HTTP/1.1 100 ")
+                writer.write(bytes(10))
+                assert (await read_answer(reader))[2] == b"done"
             writer.close()
 
     play(scenario)
@@ -222,6 +267,38 @@
     play(scenario)
 
 
+def test_a_target_gets_the_whole_body_while_its_answer_is_streamed():
+    async def scenario():
+        remaining = wire.Pipe()
+        answer = entries.FleetAnswer(
+            status=200,
+            headers=(),
+            body=b"",
+            remaining_body=remaining,
+            body_bytes=LARGE_BYTES,
+        )
+        dispatcher = FakeDispatcher(answer)
+        host = Host(dispatcher)
+
+        async def echo():
+            while dispatcher.request is None:
+                await asyncio.sleep(0.01)
+            while chunk := await dispatcher.request.body.read():
+                await remaining.put(chunk)
+            remaining.finish()
+
+        async with host.running():
+            reader, writer = await host.connect()
+            echo_task = asyncio.create_task(echo())
+            sent = random.Random(1).randbytes(LARGE_BYTES)
+            writer.write(head_of("POST", LARGE_BYTES) + sent)
+            assert (await read_answer(reader))[2] == sent
+            await echo_task
+            writer.close()
+
+    play(scenario)
+
+
 def test_a_request_is_in_flight_until_its_answer_is_written():
     async def scenario():
         host = Host(FakeDispatcher(answer_of(bytes(LARGE_BYTES))))
@@ -276,3 +353,78 @@
             writer.close()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("body_bytes", [0, 100])
+def test_a_streamed_answer_cut_by_the_exit_does_not_look_complete(
+    monkeypatch, body_bytes
+):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
+    remaining = wire.Pipe()
+    remaining.feed(b"middle")
+    answer = entries.FleetAnswer(
+        status=200, headers=(), body=b"start", remaining_body=remaining
+    )
+    received = bytearray()
+
+    async def scenario():
+        host = Host(FakeDispatcher(answer))
+        async with host.running():
+            reader, writer = await host.connect()
+            method = "POST" if body_bytes else "GET"
+            writer.write(head_of(method, body_bytes))
+
+            async def receive():
+                while chunk := await reader.read(65536):
+                    received.extend(chunk)
+
+            receiving = asyncio.create_task(receive())
+            await asyncio.sleep(0.1)
+            await host.stop(1.0)
+            await receiving
+            writer.close()
+
+    play(scenario)
+    assert b"middle" in received
+    assert b"0\r\n\r\n" not in received
+
+
+def test_a_request_read_from_a_closed_connection_is_not_taken():
+    async def scenario():
+        dispatcher = FakeDispatcher(answer_of(b"done"))
+        host = Host(dispatcher)
+        host.gate.announce_stop()
+        async with host.running():
+            reader, writer = await host.connect()
+            writer.write(head_of("GET") + head_of("GET"))
+            assert (await read_answer(reader))[2] == b"done"
+            assert await reader.read() == b""
+            await asyncio.sleep(0.05)
+            assert dispatcher.dispatched == 1
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_late_event_loop_at_the_end_of_a_stop_cuts_no_answer(monkeypatch):
+    monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
+
+    async def scenario():
+        dispatcher = FakeDispatcher(NOT_RUN)
+        dispatcher.ready.clear()
+        host = Host(dispatcher)
+        async with host.running():
+            streams = [await host.connect() for _ in range(30)]
+            for _, writer in streams:
+                writer.write(head_of("GET"))
+            await asyncio.sleep(0.1)
+            times = fleet_running.StopTimes.of(1.5)
+            loop = asyncio.get_running_loop()
+            late_s = times.exit_s - times.serving_s + 0.1
+            loop.call_later(times.serving_s - 0.02, time.sleep, late_s)
+            await host.stop(1.5)
+            for reader, writer in streams:
+                assert (await read_answer(reader))[0] == 503
+                writer.close()
+
+    play(scenario)
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -7,8 +7,8 @@
 
 Each request that runs prints a line "RUN request-id" to standard output. One
 with the header ``Drop-Silently`` prints "DROPPED request-id" and is never
-answered. With ``--events``, holds and runs are also printed as "EVENT" lines
-of JSON with their time.
+answered. With ``--events``, holds, runs and drops are also printed as "EVENT"
+lines of JSON with their time.
 """
 
 from __future__ import annotations
@@ -170,6 +170,7 @@
             return
         if "Drop-Silently" in headers:
             print(f"DROPPED {request_id}", flush=True)
+            self.target.print_event("drop", id=request_id)
             await asyncio.Event().wait()
         print(f"RUN {request_id}", flush=True)
         self.target.print_event("run", id=request_id, key=key)
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import http.client
 import json
 import socket
 import time
@@ -120,6 +121,43 @@
     assert clusters.fetch(key_url(host)).status == 200
 
 
+def test_body_that_stops_arriving_costs_no_more_than_the_deadline(keyed):
+    host = keyed.entry_hosts[0]
+    with socket.create_connection(("127.0.0.1", host.caller_port)) as caller:
+        caller.settimeout(5)
+        caller.sendall(
+            b"POST /kisvaros/pitches/pitches/p1 HTTP/1.1\r\n"
+            b"Host: entry\r\nContent-Length: 10\r\n"
+            b"Goldcrest-Deadline-Ms: 400\r\n\r\nfirst"
+        )
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+    assert answer.headers["Goldcrest-Result"].startswith("3002 ")
+    assert answer.headers["Goldcrest-Outcome"] == "not-run"
+
+
+@pytest.mark.parametrize(
+    ("desk", "body_bytes", "code"),
+    [("photos", 1_000_000, 2002), ("no-desk", 1_000_000, 1003)],
+)
+def test_refusal_reaches_a_caller_whose_body_is_still_arriving(
+    cluster, desk, body_bytes, code
+):
+    """The desk has no target, or does not exist."""
+    host = cluster.entry_hosts[0]
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", host.caller_port, timeout=5
+    )
+    connection.putrequest("PUT", f"/kisvaros/{desk}/photos/1")
+    connection.putheader("Content-Length", str(body_bytes))
+    connection.endheaders(bytes(100_000))
+    answer = connection.getresponse()
+    assert answer.headers["Goldcrest-Result"].startswith(f"{code} ")
+    assert answer.headers["Goldcrest-Outcome"] == "not-run"
+    answer.read()
+    connection.close()
+
+
 def test_answer_says_when_to_come_back_and_comes_at_once(keyed):
     """All slots are busy with slow requests; the others would be late."""
     host = keyed.entry_hosts[0]
