--- a/src/goldcrestproxy/callers/handler.py
+++ b/src/goldcrestproxy/callers/handler.py
@@ -35,7 +35,6 @@
         self._gate = gate
         self._metrics = metrics
         self._request_id_bytes_max = request_id_bytes_max
-        self._request_id = ""
         self._idempotent = True
         self._result_code = results.ANSWERED
         self._started_s = time.monotonic()
@@ -154,4 +153,4 @@
             return
         if answer.body_bytes >= 0:
             self.set_header("Content-Length", str(answer.body_bytes))
-        await self.stream_answer_body(answer.body, self._request_id)
+        await self.stream_answer_body(answer.body)
--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -31,9 +31,13 @@
 
     A subclass calls ``start`` or ``refuse`` in ``prepare``, uses ``serve``
     for its methods, and implements ``send_answer`` and ``send_refusal``.
+
+    An answer is written as soon as there is one. The request is finished
+    after that, once its body has been read to the end.
     """
 
     _gate: gates.Gate
+    _request_id = ""
     _request_body: wire.Pipe | None = None
     _request_body_ended = False
     _answer_task: asyncio.Task[ty.Any] | None = None
@@ -166,9 +170,7 @@
         if body:
             self.write(body)
 
-    async def stream_answer_body(
-        self, body: wire.Pipe, request_id: str
-    ) -> None:
+    async def stream_answer_body(self, body: wire.Pipe) -> None:
         """Stream the remaining body of an answer to the caller.
 
         If it is interrupted, the connection is closed, so that the caller
@@ -181,7 +183,7 @@
         except errors.GoldcrestProxyError as error:
             LOG.warning(
                 "callers: answer to request %s was interrupted: %s",
-                request_id,
+                self._request_id,
                 error,
             )
             self.close_connection()
@@ -207,7 +209,7 @@
             self.close_connection()
             return
         except Exception as error:
-            LOG.exception("callers: request failed")
+            LOG.exception("callers: request %s failed", self._request_id)
             self.send_refusal(results.refusal(results.INTERNAL, str(error)))
         else:
             await self.send_answer(answer)
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -38,6 +38,7 @@
 
     async def prepare(self) -> None:
         """Find the route of the request and start dispatching it."""
+        self._request_id = self.request.headers.get(conventions.REQUEST_ID, "")
         try:
             self.enter_gate()
             request = self._build_request()
@@ -77,7 +78,7 @@
             )
         self._request_body = wire.Pipe() if body_bytes else None
         return entries.FleetRequest(
-            request_id=headers.get(conventions.REQUEST_ID, ""),
+            request_id=self._request_id,
             method=ty.cast(str, self.request.method),
             host=headers.get("Host", "").rpartition(":")[0]
             or headers.get("Host", ""),
@@ -121,7 +122,7 @@
         telemetry.log_event(
             LOG,
             "platform: refused a request",
-            request_id=self.request.headers.get(conventions.REQUEST_ID, ""),
+            request_id=self._request_id,
             code=error.code,
             result=result.name,
             status=result.status,
@@ -145,10 +146,7 @@
             self.set_header("Content-Length", str(answer.body_bytes))
         self.write(answer.body)
         await self.flush()
-        await self.stream_answer_body(
-            answer.remaining_body,
-            self.request.headers.get(conventions.REQUEST_ID, ""),
-        )
+        await self.stream_answer_body(answer.remaining_body)
 
 
 class BalancerHandler(web.RequestHandler):
