Release no slot of a target that was never taken

A waiting request that was refused and whose caller left at the same moment released a slot that it did not have, so that the target got one request more than its limit. Found by reading.

test_a_waiter_refused_and_cancelled_at_once_releases_no_slot failed before with 'assert 0 == 1'.

--- a/src/goldcrestproxy/routing/admission.py
+++ b/src/goldcrestproxy/routing/admission.py
@@ -164,7 +164,8 @@
         """Remove a waiting request, or release the slot it was just given."""
         heap = self._waiting.get(customer, [])
         if waiter not in heap:
-            if not waiter.ready.cancelled():
+            ready = waiter.ready
+            if not ready.cancelled() and ready.exception() is None:
                 self.release()
             return
         heap.remove(waiter)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -168,3 +168,17 @@
         assert queue.backlog_requests == 0
 
     asyncio.run(scenario())
+
+
+def test_a_waiter_refused_and_cancelled_at_once_releases_no_slot():
+    async def scenario():
+        queue = make(slots=1)
+        await queue.acquire(request())
+        waiting = asyncio.create_task(queue.acquire(request()))
+        await asyncio.sleep(0)
+        queue.refuse_all(results.STOPPING, "stopping")
+        waiting.cancel()
+        await asyncio.wait([waiting])
+        assert queue.running == 1
+
+    asyncio.run(scenario())
