--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -89,7 +89,7 @@
         ",".join(daemon.host_settings.roles),
     )
     try:
-        await lifecycle.run_until(stop, tasks, lambda: _stop_roles(daemon))
+        await lifecycle.run_until(stop, tasks, lambda: _stop(daemon))
     finally:
         _close(daemon)
     LOG.info("daemon: stopped")
@@ -139,28 +139,30 @@
         return None
 
 
-async def _stop_roles(daemon: fleet_composition.FleetDaemon) -> None:
-    await _stop(daemon)
-    if daemon.control_service is None:
-        return
+async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
+    """Stop the roles of a daemon, the entry role first."""
+    LOG.info("daemon: stopping")
     timeout_s = min(CONTROL_CALLS_S, daemon.fleet_settings.stop_s / 2)
     if daemon.entry is not None:
+        await _stop_entry(daemon, daemon.entry)
+        # Most of the time for the stop has passed.
         timeout_s = EXIT_RESERVE_S / 4
-    await _stop_control(daemon, daemon.control_service, timeout_s)
+    if daemon.control_service is not None:
+        await _stop_control(daemon, daemon.control_service, timeout_s)
 
 
-async def _stop(daemon: fleet_composition.FleetDaemon) -> None:
+async def _stop_entry(
+    daemon: fleet_composition.FleetDaemon,
+    entry: fleet_composition.EntryComponents,
+) -> None:
     """Stop with an answer or a refusal for each request.
 
     Readiness checks fail first. Requests are served while the balancer
     reacts, and each answer closes its connection. Those still in flight
     shortly before the end are answered without their targets.
     """
-    if daemon.entry is None:
-        LOG.info("daemon: stopping")
-        return
-    LOG.info("daemon: stopping; readiness checks fail from now on")
-    gate, dispatcher = daemon.entry.gate, daemon.entry.dispatcher
+    LOG.info("daemon: readiness checks fail from now on")
+    gate, dispatcher = entry.gate, entry.dispatcher
     gate.announce_stop()
     loop = asyncio.get_running_loop()
     started_s = loop.time()
--- a/tests/daemon/test_control_stop.py
+++ b/tests/daemon/test_control_stop.py
@@ -97,7 +97,7 @@
 
     async def stop(self):
         """Return a task that stops the host, after the first steps."""
-        task = asyncio.create_task(fleet_running._stop_roles(self.daemon))
+        task = asyncio.create_task(fleet_running._stop(self.daemon))
         await asyncio.sleep(0.05)
         return task
 
@@ -188,7 +188,7 @@
         await host.connect()
         await asyncio.sleep(0.05)
         started_s = time.monotonic()
-        await fleet_running._stop_roles(host.daemon)
+        await fleet_running._stop(host.daemon)
         assert time.monotonic() - started_s < 0.1
 
     asyncio.run(scenario())
@@ -197,16 +197,17 @@
 def test_control_role_is_served_until_the_entry_role_has_stopped(monkeypatch):
     """Otherwise a leader would refuse calls for seconds."""
 
-    async def stop_entry(daemon):
+    async def stop_entry(daemon, entry):
+        assert entry is daemon.entry
         daemon.control_gate.enter()
         daemon.control_gate.leave()
 
-    monkeypatch.setattr(fleet_running, "_stop", stop_entry)
+    monkeypatch.setattr(fleet_running, "_stop_entry", stop_entry)
 
     async def scenario():
         host = Host()
         host.daemon.entry = mock.Mock()
-        await fleet_running._stop_roles(host.daemon)
+        await fleet_running._stop(host.daemon)
         with pytest.raises(errors.RefusedError):
             host.gate.enter()
 
--- a/tests/daemon/test_fleet_running.py
+++ b/tests/daemon/test_fleet_running.py
@@ -43,6 +43,7 @@
 def stop(gate, server):
     daemon = types.SimpleNamespace(
         entry=entry_of(gate),
+        control_service=None,
         fleet_settings=types.SimpleNamespace(stop_s=5.0),
         listeners=[
             types.SimpleNamespace(setting="fleet.callers", server=server)
@@ -77,6 +78,7 @@
         asyncio.get_running_loop().call_later(0.1, gate.leave)
         daemon = types.SimpleNamespace(
             entry=entry_of(gate),
+            control_service=None,
             fleet_settings=types.SimpleNamespace(stop_s=5.0),
             listeners=[
                 types.SimpleNamespace(setting="fleet.callers", server=server)
@@ -110,6 +112,7 @@
         await fleet_running._stop(
             types.SimpleNamespace(
                 entry=entry_of(gate),
+                control_service=None,
                 fleet_settings=types.SimpleNamespace(stop_s=5.0),
                 listeners=[],
             )
@@ -142,6 +145,7 @@
         await fleet_running._stop(
             types.SimpleNamespace(
                 entry=entry,
+                control_service=None,
                 fleet_settings=types.SimpleNamespace(stop_s=1.0),
                 listeners=[],
             )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -111,6 +111,7 @@
                 entry=types.SimpleNamespace(
                     gate=self.gate, dispatcher=self.dispatcher
                 ),
+                control_service=None,
                 fleet_settings=types.SimpleNamespace(stop_s=stop_s),
                 listeners=[listener],
             )
