--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -15,6 +15,7 @@
 from goldcrestproxy import errors
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy import targets
+from goldcrestproxy import telemetry
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -239,6 +240,20 @@
                     target.record.incarnation,
                     request.fingerprint,
                 )
+                telemetry.log_event(
+                    LOG,
+                    "entries: connection broke during a request",
+                    request_id=request.request_id,
+                    target=target.name,
+                    incarnation=target.record.incarnation,
+                    fingerprint=request.fingerprint,
+                    caller=request.caller,
+                    method=request.method,
+                    host=request.host,
+                    request_target=request.request_target,
+                    key=request.key,
+                    body_bytes=request.body_bytes,
+                )
             case _:
                 pass
 
