--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -159,6 +159,8 @@
         key=None,
         body=None,
         timeout_s=15,
+        source="",
+        chunked=False,
         **extra_headers,
     ):
         headers = {
@@ -170,7 +172,18 @@
         if key is not None:
             headers["Shard-Key"] = str(key)
         address = f"127.0.0.{entry + 11}:{self.ports['callers']}"
-        return call(address, method, path, body, headers, timeout_s)
+        if chunked:
+            headers["Transfer-Encoding"] = "chunked"
+        return call(
+            address,
+            method,
+            path,
+            body,
+            headers,
+            timeout_s,
+            source=source,
+            chunked=chunked,
+        )
 
     def request_until_served(self, entry, method, path, **options):
         """Send a request again while it is refused as not run.
@@ -228,12 +241,31 @@
             process.wait()
 
 
-def call(address, method, path, body=None, headers=None, timeout_s=15):
-    """Send one HTTP request; return status, body and headers."""
+def call(
+    address,
+    method,
+    path,
+    body=None,
+    headers=None,
+    timeout_s=15,
+    *,
+    source="",
+    chunked=False,
+):
+    """Send one HTTP request; return status, body and headers.
+
+    ``source`` is the local IP address; ``chunked`` sends the body in chunks.
+    """
     host, port = address.split(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    connection = http.client.HTTPConnection(
+        host, int(port), timeout=timeout_s, source_address=(source, 0)
+    )
     try:
-        connection.request(method, path, body, headers or {})
+        if chunked:
+            body = iter([body[:2], body[2:]])
+        connection.request(
+            method, path, body, headers or {}, encode_chunked=chunked
+        )
         answer = connection.getresponse()
         return answer.status, answer.read(), dict(answer.getheaders())
     finally:
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -7,8 +7,9 @@
 
 Each request that runs prints a line "RUN request-id" to standard output. One
 with the header ``Drop-Silently`` prints "DROPPED request-id" and is never
-answered. With ``--events``, holds, runs and drops are also printed as "EVENT"
-lines of JSON with their time.
+answered. One whose path contains "crash" ends the process. With ``--events``,
+holds, runs and drops are also printed as "EVENT" lines of JSON with their
+time.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import asyncio
 import itertools
 import json
+import os
 import signal
 import sys
 import time
@@ -174,6 +176,8 @@
             await asyncio.Event().wait()
         print(f"RUN {request_id}", flush=True)
         self.target.print_event("run", id=request_id, key=key)
+        if "crash" in self.request.path:
+            os._exit(1)
         await asyncio.sleep(float(headers.get("Work-Seconds", WORK_S)))
         self.set_header("Response-Signature", f"{self.target.name}.sig")
         if self.target.keyed and time.monotonic() >= self.target.until_s:
--- /dev/null
+++ b/tests/system/test_crashing_requests.py
@@ -0,0 +1,108 @@
+"""Requests that end each target that begins to run them."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import time
+
+import fleet as fleets
+import pytest
+
+# From the third crash on, by then no host may send the request any more.
+CONTACT_S = 3.0
+QUARANTINED = 3006
+ENTRY_HOSTS = 3
+TARGETS = 5
+
+
+class CrashingFleet(fleets.Fleet):
+    """A fleet whose crashed targets start again under new names."""
+
+    def __init__(self, folder):
+        super().__init__(folder, entry_count=ENTRY_HOSTS)
+        self.crashed_s = []
+        self._names = (f"desk-{n}" for n in itertools.count())
+        self._addresses = {}
+
+    def add_desk(self, address):
+        name = next(self._names)
+        self._addresses[name] = address
+        self.add_target(name, "desk", keyed=True, address=address)
+
+    def restart_crashed_targets(self):
+        for name, address in list(self._addresses.items()):
+            if self.processes[name].poll() is not None:
+                self.crashed_s.append(time.monotonic())
+                del self._addresses[name]
+                self.add_desk(address)
+
+    def send(self, number, method, path, **options):
+        """Send from an address and to a host that depend on ``number``."""
+        body = b"pitch 9" if method == "POST" else None
+        status, text, _ = self.request(
+            number % ENTRY_HOSTS,
+            method,
+            path,
+            body=body,
+            source=f"127.0.1.{number % 7 + 1}",
+            chunked=body is not None and number % 2 == 1,
+            **options,
+        )
+        return status, text
+
+    def is_quarantined(self, number, method, path, **options):
+        status, text = self.send(number, method, path, **options)
+        return status == 503 and json.loads(text)["code"] == QUARANTINED
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    new_fleet = CrashingFleet(tmp_path)
+    try:
+        new_fleet.start()
+        status, _ = new_fleet.send_operator_request(
+            "PATCH", "/goldcrestproxy/config", fleets.items()
+        )
+        assert status == 200
+        for port in fleets.free_ports(TARGETS):
+            new_fleet.add_desk(f"127.0.0.1:{port}")
+        new_fleet.wait_until(
+            lambda: all(
+                new_fleet.send(number, "GET", "/look/1", key=9)[0] == 200
+                for number in range(ENTRY_HOSTS)
+            )
+        )
+        yield new_fleet
+    finally:
+        new_fleet.close()
+
+
+@pytest.mark.parametrize(
+    ("method", "path"), [("GET", "/look/crash"), ("POST", "/book/crash")]
+)
+def test_a_crashing_request_is_refused_from_any_address_at_any_host(
+    fleet, method, path
+):
+    numbers = itertools.count()
+
+    def crashed_three_targets():
+        fleet.send(next(numbers), method, path, key=9)
+        fleet.restart_crashed_targets()
+        return len(fleet.crashed_s) >= 3
+
+    fleet.wait_until(crashed_three_targets)
+    while time.monotonic() < fleet.crashed_s[2] + CONTACT_S:
+        fleet.send(next(numbers), method, path, key=9)
+        fleet.restart_crashed_targets()
+    crashed_by_then = len(fleet.crashed_s)
+    for number in range(2 * ENTRY_HOSTS * 7):
+        assert fleet.is_quarantined(number, method, path, key=9)
+    fleet.restart_crashed_targets()
+    assert len(fleet.crashed_s) == crashed_by_then
+    fleet.wait_until(
+        lambda: all(
+            fleet.send(number, "GET", "/look/1", key=9)[0] == 200
+            for number in range(ENTRY_HOSTS)
+        )
+    )
