--- a/src/goldcrestproxy/control/broken_runs.py
+++ b/src/goldcrestproxy/control/broken_runs.py
@@ -15,8 +15,8 @@
 # A crash is detected at the target's restart or by missed heartbeats, both
 # within this time.
 REPORT_RETENTION_S: ty.Final = 8.0
-# Fingerprints distinguish requests by path and caller only, so one more crash
-# is required than where a coordinator records which requests were running.
+# Requests that broke off are not known to have run, so one more crash is
+# required than where a coordinator records which requests were running.
 CRASHES_TO_QUARANTINE: ty.Final = 3
 # Maximum reports kept per target incarnation; the oldest are evicted first.
 REPORTS_PER_TARGET_MAX: ty.Final = 200
--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -22,6 +22,7 @@
         )
         self._work: dict[tuple[str, int], tuple[float, int]] = {}
         self._broken_runs: list[wire.ttypes.BrokenRun] = []
+        self._cleared: set[str] = set()
 
     def count_request(self, service: str, block: int) -> None:
         """Count a request for a key in a block."""
@@ -58,6 +59,10 @@
                 )
             )
 
+    def record_cleared(self, fingerprint: str) -> None:
+        """Record that a target has answered a request under suspicion."""
+        self._cleared.add(fingerprint)
+
     def merge(self, request: wire.ttypes.WatchRequest) -> None:
         """Add the measurements reported by another host."""
         for observation in request.observations or ():
@@ -69,6 +74,7 @@
         for block in request.blocks or ():
             self._blocks[block.service_name, block.first_key] += block.requests
         self._broken_runs.extend(request.broken or ())
+        self._cleared.update(request.cleared or ())
 
     def _add_work(
         self, key: tuple[str, int], work_ms: float, answers: int
@@ -97,5 +103,7 @@
         ]
         request.broken = self._broken_runs
         self._broken_runs = []
+        request.cleared = sorted(self._cleared)
+        self._cleared = set()
         self._blocks.clear()
         self._work.clear()
--- a/src/goldcrestproxy/control/quarantine.py
+++ b/src/goldcrestproxy/control/quarantine.py
@@ -25,15 +25,16 @@
         record = self.crashes.get(fingerprint)
         return record is not None and record.quarantined
 
-    def is_quarantined_since(self, fingerprint: str, since_s: float) -> bool:
-        """Whether a fingerprint is quarantined and has crashed a target since.
+    def quarantined_since(self, since_s: float) -> set[str]:
+        """Return the quarantined that have crashed a target since a time.
 
         :param since_s: seconds since the epoch
         """
-        return (
-            self.is_quarantined(fingerprint)
-            and self.crashes[fingerprint].time_s >= since_s
-        )
+        return {
+            fingerprint
+            for fingerprint, record in self.crashes.items()
+            if record.quarantined and record.time_s >= since_s
+        }
 
     def apply(
         self, command: commands.ReportCrash | commands.ReleaseQuarantine
--- a/src/goldcrestproxy/control/target_losses.py
+++ b/src/goldcrestproxy/control/target_losses.py
@@ -36,22 +36,37 @@
         self._views = views
         self._heartbeat_s = heartbeat_s
         self._broken_runs = broken_runs.BrokenRuns()
+        self._cleared: set[str] = set()
 
     @property
     def _registry(self) -> registry.RegistryState:
         return self._replica.state.registry
 
     def observe(self, report: wire.ttypes.WatchRequest) -> None:
-        """Record the broken runs reported by an entry host."""
+        """Record the broken and cleared runs reported by an entry host."""
         now_s = self._replica.clock()
         for run in report.broken or ():
             self._broken_runs.record(
                 run.target, run.incarnation, run.fingerprint, now_s
             )
+        self._cleared.update(report.cleared or ())
 
     def due_commands(self, now_s: float) -> list[commands.Command]:
-        """Return the commands due for silent targets and expired holds."""
-        return [*self._lost_targets(now_s), *self._ended_holds(now_s)]
+        """Return the commands due for losses, ended holds and answers."""
+        return [
+            *self._lost_targets(now_s),
+            *self._ended_holds(now_s),
+            *self._releases(),
+        ]
+
+    def _releases(self) -> list[commands.Command]:
+        """Release requests that a target has answered since a crash."""
+        cleared, self._cleared = self._cleared, set()
+        return [
+            commands.ReleaseQuarantine(fingerprint=fingerprint)
+            for fingerprint in sorted(cleared)
+            if fingerprint in self._replica.state.quarantine.crashes
+        ]
 
     def crashes_implied_by(
         self, registration: registry.RegisterTarget
--- a/src/goldcrestproxy/entries/attempt.py
+++ b/src/goldcrestproxy/entries/attempt.py
@@ -37,8 +37,8 @@
 class RequestPlan:
     """The data that all attempts of a request share.
 
-    ``deadline_s`` is monotonic time. ``body_digest`` is empty for a body
-    that was not read ahead.
+    ``deadline_s`` is monotonic time. ``body_digest`` is empty without a body
+    and for a long one.
     """
 
     request: caller_request.CallerRequest
--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -38,6 +38,11 @@
         """The route that matched the request."""
         return self.named_route.route
 
+    @property
+    def fingerprint(self) -> str:
+        """The fingerprint of the request with the body as read so far."""
+        return self.request.fingerprint(self.body.digest)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run any of the attempts."""
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import math
 import random
@@ -85,8 +86,7 @@
     ) -> route_table.NamedRoute:
         """Return the named route of a request.
 
-        :raises RefusedError: without routes, without a matching route, or for
-            a quarantined request
+        :raises RefusedError: without routes or without a matching route
         """
         if not self._fleet.current:
             raise results.refusal(
@@ -100,12 +100,6 @@
                 results.UNKNOWN_ROUTE,
                 f"no route of host {request.host!r} begins {request.path!r}",
             )
-        if self._fleet.is_quarantined(request):
-            raise results.refusal(
-                results.QUARANTINED,
-                f"requests like this one ({request.fingerprint}) crashed "
-                "targets",
-            )
         return named_route
 
     async def dispatch(
@@ -141,8 +135,7 @@
         outcome, code = "cancelled", "cancelled"
         try:
             answer = await self._running.run(
-                self._send_with_retries(state),
-                lambda: self._answer_at_stop(state),
+                self._run(state), lambda: self._answer_at_stop(state)
             )
             outcome = f"answered {answer.status}"
             code = str(results.ANSWERED)
@@ -156,6 +149,42 @@
             self._metrics.requests.add(1, {"code": code})
             self._metrics.duration.record((self._clock() - started_s) * 1000)
 
+    async def _run(
+        self, state: dispatch_state.DispatchState
+    ) -> fleet_request.FleetAnswer:
+        """Send a request unless it is quarantined."""
+        await self._refuse_quarantined(state)
+        answer = await self._send_with_retries(state)
+        if self._fleet.has_suspects:
+            self._fleet.clear_suspicion(state.fingerprint)
+        return answer
+
+    async def _refuse_quarantined(
+        self, state: dispatch_state.DispatchState
+    ) -> None:
+        """Refuse a request that crashed targets, once its body is read.
+
+        :raises RefusedError: for a quarantined request, or when its body
+            does not arrive within the deadline
+        """
+        quarantined = self._fleet.quarantined
+        if not quarantined:
+            return
+        try:
+            async with asyncio.timeout(state.deadline_s - self._clock()):
+                await state.body.read_ahead()
+        except TimeoutError:
+            raise results.refusal(
+                results.DEADLINE_NOT_RUN,
+                "the body did not arrive within the deadline",
+            ) from None
+        if state.fingerprint in quarantined:
+            raise results.refusal(
+                results.QUARANTINED,
+                f"requests like this one ({state.fingerprint}) crashed "
+                "targets",
+            )
+
     async def _send_with_retries(
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer:
--- a/src/goldcrestproxy/entries/fingerprints.py
+++ b/src/goldcrestproxy/entries/fingerprints.py
@@ -1,25 +1,41 @@
-"""Fingerprints, equal for repetitions of a request."""
+"""Fingerprints, equal for repetitions of a request.
+
+A repetition may come from another address, at another host, and with its
+body framed in another way, so none of these enters into a fingerprint.
+"""
 
 from __future__ import annotations
 
+import typing as ty
+
 import xxhash
 
 from goldcrestproxy import wire
 
+# Longer bodies are not part of fingerprints.
+DIGESTED_BYTES_MAX: ty.Final = 64 * 1024
+
 
 def body_digest(body: bytes) -> str:
-    """Return the XXH3-128 digest of a whole body as hexadecimal digits."""
+    """Return the XXH3-128 digest of a whole body as hexadecimal digits.
+
+    Empty for an empty or long body.
+    """
+    if not 0 < len(body) <= DIGESTED_BYTES_MAX:
+        return ""
     return xxhash.xxh3_128_hexdigest(body)
 
 
 def of_parts(
-    customer: str, desk: str, method: str, path: str, digest: str
+    owner: str, scope: str, method: str, path: str, digest: str
 ) -> str:
     """Return the fingerprint of a request as hexadecimal digits.
 
-    :param digest: the digest of the body, or its length in bytes
+    :param owner: the customer, or the key whose owner runs the request
+    :param scope: the desk, or the host name in the request
+    :param digest: the digest of the body
     """
-    text = "\0".join((customer, desk, method, path, digest))
+    text = "\0".join((owner, scope, method, path, digest))
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
@@ -28,7 +44,10 @@
 
     It equals the one computed by the entry host that sent the request.
     """
-    digest = request.body_digest or str(request.body_bytes)
     return of_parts(
-        request.customer, request.desk, request.method, request.path, digest
+        request.customer,
+        request.desk,
+        request.method,
+        request.path,
+        request.body_digest,
     )
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -9,7 +9,6 @@
 
 from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.control import observations
-from goldcrestproxy.entries import fleet_request
 from goldcrestproxy.entries import state_watcher
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
@@ -167,13 +166,21 @@
         """Wait for the next change of the state, at most ``timeout_s``."""
         await self._watcher.wait_change(timeout_s)
 
-    def is_quarantined(self, request: fleet_request.FleetRequest) -> bool:
-        """Whether requests with this fingerprint recently crashed targets."""
+    @property
+    def quarantined(self) -> set[str]:
+        """Fingerprints of requests that recently crashed targets."""
         quarantine = self._watcher.state.quarantine
-        # Nearly always empty, which saves computing the fingerprint.
-        return bool(quarantine.crashes) and quarantine.is_quarantined_since(
-            request.fingerprint, clocks.wall_s() - QUARANTINE_S
-        )
+        return quarantine.quarantined_since(clocks.wall_s() - QUARANTINE_S)
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any requests are suspected of having crashed targets."""
+        return bool(self._watcher.state.quarantine.crashes)
+
+    def clear_suspicion(self, fingerprint: str) -> None:
+        """Report that a target has answered a request that is suspected."""
+        if fingerprint in self._watcher.state.quarantine.crashes:
+            self.observations.record_cleared(fingerprint)
 
     def is_cold(self, target: TrackedTarget) -> bool:
         """Whether a target is still in its cold period."""
--- a/src/goldcrestproxy/entries/fleet_request.py
+++ b/src/goldcrestproxy/entries/fleet_request.py
@@ -31,18 +31,14 @@
     deadline_ms: int | None
     caller: str = ""
 
-    @property
-    def fingerprint(self) -> str:
-        """A digest that is equal for repetitions of a request by its caller.
-
-        The request ID, headers and deadline do not enter into it.
-        """
+    def fingerprint(self, body_digest: str) -> str:
+        """Return a digest that is equal for repetitions of this request."""
         return fingerprints.of_parts(
-            self.caller,
+            str(self.key),
             self.host,
             self.method,
             self.request_target,
-            str(self.body_bytes),
+            body_digest,
         )
 
     @property
--- a/src/goldcrestproxy/entries/replay.py
+++ b/src/goldcrestproxy/entries/replay.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing as ty
 
+from goldcrestproxy.entries import fingerprints
 from goldcrestproxy.wire import Pipe
 
 # Covers the data that buffers on the path accept before a target reads any.
@@ -41,11 +42,18 @@
         """The bytes read so far, empty once the buffer has overflowed."""
         return b"".join(self._buffered)
 
-    async def read_ahead(self, bytes_max: int) -> bool:
-        """Buffer about ``bytes_max``; return whether the body has ended."""
-        while not self._ended and self._buffered_bytes <= bytes_max:
+    @property
+    def digest(self) -> str:
+        """The body's part of a fingerprint, empty until it has been read."""
+        return fingerprints.body_digest(self.buffered) if self._ended else ""
+
+    async def read_ahead(self) -> None:
+        """Buffer the body, unless it is too long for a digest."""
+        while (
+            not self._ended
+            and self._buffered_bytes <= fingerprints.DIGESTED_BYTES_MAX
+        ):
             await self._read()
-        return self._ended
 
     def cancel_feed(self) -> None:
         """Stop feeding the last attempt, without waiting for it."""
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -32,7 +32,6 @@
 # How long a request waits for its key to get an owner, or for any target.
 TARGET_WAIT_S: ty.Final = 2.0
 MAP_WAIT_S: ty.Final = 0.05
-DIGESTED_BYTES_MAX: ty.Final = 64 * 1024
 # Another entry host can take the request at once.
 STOPPING_RETRY_AFTER_MS: ty.Final = 100
 
@@ -141,9 +140,9 @@
     ) -> attempts.RequestPlan:
         body = replay.ReplayableBody(request.body)
         digest = ""
-        if 0 < request.body_bytes <= DIGESTED_BYTES_MAX:
+        if request.body_bytes <= fingerprints.DIGESTED_BYTES_MAX:
             await self._read_ahead(body, deadline_s)
-            digest = fingerprints.body_digest(body.buffered)
+            digest = body.digest
         return attempts.RequestPlan(
             request=request,
             classified=classified,
@@ -164,7 +163,7 @@
         """
         try:
             async with asyncio.timeout(deadline_s - self._clock()):
-                await body.read_ahead(DIGESTED_BYTES_MAX)
+                await body.read_ahead()
         except TimeoutError:
             raise results.refusal(
                 results.DEADLINE_NOT_RUN,
@@ -348,7 +347,7 @@
             plan.classified.desk_name,
             plan.request.method,
             plan.classified.path,
-            plan.body_digest or str(plan.request.body_bytes),
+            plan.body_digest,
         )
         if quarantine.is_quarantined(fingerprint):
             raise results.refusal(
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -133,9 +133,9 @@
             if error.timed_out and error.stage is targets.Stage.NOT_SENT:
                 adaptive_timeout.record_timeout()
             waited_s = self._clock() - started_s - transfer.queued_s
-            self._record_failure(
-                transfer, target, request, failure, waited_s * 1000
-            )
+            self._record_failure(transfer, target, failure, waited_s * 1000)
+            if transfer.started and not transfer.mismatched:
+                self._record_broken_run(target, request, body, failure)
             raise SendError(failure) from error
         except SendError:
             raise
@@ -217,7 +217,6 @@
         self,
         transfer: targets.Transfer,
         target: fleet_map.TrackedTarget,
-        request: fleet_request.FleetRequest,
         failure: fleet_retries.Failure,
         waited_ms: float,
     ) -> None:
@@ -233,12 +232,22 @@
                 return
             case _:
                 target.stats.record_failure(now_s)
+
+    def _record_broken_run(
+        self,
+        target: fleet_map.TrackedTarget,
+        request: fleet_request.FleetRequest,
+        body: replay.ReplayableBody,
+        failure: fleet_retries.Failure,
+    ) -> None:
+        """Report a request that may have ended its target."""
         match failure:
             case fleet_retries.MaybeRun(timed_out=False):
+                fingerprint = request.fingerprint(body.digest)
                 self._observations.record_broken_run(
                     target.name,
                     target.record.incarnation,
-                    request.fingerprint,
+                    fingerprint,
                 )
                 telemetry.log_event(
                     LOG,
@@ -246,7 +255,7 @@
                     request_id=request.request_id,
                     target=target.name,
                     incarnation=target.record.incarnation,
-                    fingerprint=request.fingerprint,
+                    fingerprint=fingerprint,
                     caller=request.caller,
                     method=request.method,
                     host=request.host,
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -226,6 +226,8 @@
   8: list<BrokenRun> broken,
   /** Entry hosts that the asking control host feeds; only these set it. */
   9: optional i32 relayed_watchers,
+  /** Fingerprints suspected of crashes whose requests a target answered. */
+  10: list<string> cleared,
 }
 
 struct WatchReply {
--- a/tests/control/test_registrar.py
+++ b/tests/control/test_registrar.py
@@ -454,13 +454,19 @@
     asyncio.run(scenario())
 
 
-def broken_run(target, incarnation, fingerprint):
+def watch_request(**reports):
     return wire.ttypes.WatchRequest(
         host="entry-a",
         session="s",
         zone="zone-a",
         applied_index=0,
         entry=True,
+        **reports,
+    )
+
+
+def broken_run(target, incarnation, fingerprint):
+    return watch_request(
         broken=[
             wire.ttypes.BrokenRun(
                 fingerprint=fingerprint, target=target, incarnation=incarnation
@@ -469,6 +475,10 @@
     )
 
 
+def cleared(fingerprint):
+    return watch_request(cleared=[fingerprint])
+
+
 def test_a_request_that_crashes_targets_is_quarantined(replica):
     """Two crashes are detected by a restart, the third by silence."""
 
@@ -496,6 +506,33 @@
     asyncio.run(scenario())
 
 
+def test_a_request_that_targets_answer_is_not_quarantined(replica):
+    """It was in flight at three crashes that another request caused."""
+
+    async def scenario():
+        leader = new_leader(replica)
+        simulated = SimulatedTarget(
+            name="i-1", address="10.0.0.1:80", clock_slowdown=0.0
+        )
+        await leader.serve(simulated.heartbeat(replica.now_s))
+        for crash in range(3):
+            leader.observe(broken_run("i-1", crash + 1, "popular"))
+            leader.observe(broken_run("i-1", crash + 1, "poison"))
+            replica.now_s += 0.5
+            simulated.restart()
+            await leader.serve(simulated.heartbeat(replica.now_s))
+            leader.observe(cleared("popular"))
+            await leader._tick()
+        is_quarantined = replica.state.quarantine.is_quarantined
+        assert is_quarantined("poison")
+        assert not is_quarantined("popular")
+        leader.observe(cleared("poison"))
+        await leader._tick()
+        assert not replica.state.quarantine.crashes
+
+    asyncio.run(scenario())
+
+
 def test_breaks_without_a_crash_quarantine_nothing(replica):
     async def scenario():
         leader = new_leader(replica)
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -59,6 +59,7 @@
     observed.count_request("desk", 64)
     observed.count_request("desk", 64)
     observed.record_broken_run("t1", 1, "poison")
+    observed.record_cleared("popular")
     request = wire.ttypes.WatchRequest(
         host=host, session="s", zone="z", applied_index=0, entry=True
     )
@@ -79,6 +80,9 @@
     (sent,) = peers.requests
     assert [block.requests for block in sent.blocks] == [4]
     assert len(sent.broken) == 2
+    assert sent.cleared == ["popular"]
+    decoded = wire.decode(wire.ttypes.WatchRequest, wire.encode(sent))
+    assert decoded.cleared == ["popular"]
     assert sent.relayed_watchers == 2
     reply = relay.watch(None, watch_request("entry-a"))
     assert (reply.serving, reply.entry_hosts, reply.map_index) == (True, 80, 9)
