--- a/src/goldcrestproxy/control/broken_runs.py
+++ b/src/goldcrestproxy/control/broken_runs.py
@@ -34,6 +34,9 @@
     def __init__(self) -> None:
         """Create an empty store."""
         self._reports: dict[tuple[str, int], list[_Report]] = {}
+        # When a crash was detected, by target and incarnation. A target may
+        # start again before all reports of its crash have arrived.
+        self._crashed_s: dict[tuple[str, int], float] = {}
 
     def record(
         self, target: str, incarnation: int, fingerprint: str, now_s: float
@@ -43,13 +46,29 @@
         reports.append(_Report(fingerprint, now_s))
         del reports[:-REPORTS_PER_TARGET_MAX]
 
-    def pop_fingerprints(
+    def record_crash(
         self, target: str, incarnation: int, now_s: float
-    ) -> tuple[str, ...]:
-        """Remove and return the requests that may have crashed a target.
+    ) -> None:
+        """Record that a target has crashed."""
+        self._crashed_s[target, incarnation] = now_s
+
+    def pop_crashes(
+        self, now_s: float
+    ) -> dict[tuple[str, int], tuple[str, ...]]:
+        """Remove and return the requests that may have crashed targets.
 
-        :return: distinct fingerprints of unexpired reports, sorted
+        :return: distinct fingerprints of unexpired reports, sorted, by target
+            and incarnation
         """
+        return {
+            crashed: self._pop_fingerprints(*crashed, now_s)
+            for crashed in self._crashed_s
+            if crashed in self._reports
+        }
+
+    def _pop_fingerprints(
+        self, target: str, incarnation: int, now_s: float
+    ) -> tuple[str, ...]:
         reports = self._reports.pop((target, incarnation), [])
         return tuple(
             sorted(
@@ -62,7 +81,10 @@
         )
 
     def evict_expired(self, now_s: float) -> None:
-        """Evict the reports of targets without a recent broken run."""
+        """Evict old crashes, and reports without a recent broken run."""
+        for key, crashed_s in list(self._crashed_s.items()):
+            if now_s - crashed_s > REPORT_RETENTION_S:
+                del self._crashed_s[key]
         for key, reports in list(self._reports.items()):
             if now_s - reports[-1].reported_s > REPORT_RETENTION_S:
                 del self._reports[key]
--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -76,6 +76,15 @@
         self._broken_runs.extend(request.broken or ())
         self._cleared.update(request.cleared or ())
 
+    def restore_runs(self, request: wire.ttypes.WatchRequest) -> None:
+        """Keep the runs of a report that may not have arrived.
+
+        Its counts are dropped: later they would look like a burst.
+        """
+        free = max(0, BROKEN_RUNS_MAX - len(self._broken_runs))
+        self._broken_runs.extend((request.broken or ())[:free])
+        self._cleared.update(request.cleared or ())
+
     def _add_work(
         self, key: tuple[str, int], work_ms: float, answers: int
     ) -> None:
--- a/src/goldcrestproxy/control/target_losses.py
+++ b/src/goldcrestproxy/control/target_losses.py
@@ -55,6 +55,7 @@
         """Return the commands due for losses, ended holds and answers."""
         return [
             *self._lost_targets(now_s),
+            *self._crash_reports(),
             *self._ended_holds(now_s),
             *self._releases(),
         ]
@@ -76,7 +77,6 @@
         A newer incarnation of a target, or a newer process at its address,
         implies that the old process has ended. Leaving targets are excluded.
         """
-        proposals: list[commands.Command] = []
         for registered in self._registry.targets.values():
             same = registration.target == registered.target
             if not same and registration.address != registered.address:
@@ -85,33 +85,38 @@
                 registered.incarnation < registration.incarnation
                 and not registered.leaving
             ):
-                proposals.extend(self._crash_report(registered))
-        return proposals
+                self._record_crash(registered)
+        return self._crash_reports()
 
-    def _crash_report(
-        self, registered: registry.RegisteredTarget
-    ) -> list[commands.Command]:
-        """Return a report of the requests that ran when a target crashed."""
-        fingerprints = self._broken_runs.pop_fingerprints(
+    def _record_crash(self, registered: registry.RegisteredTarget) -> None:
+        self._broken_runs.record_crash(
             registered.target, registered.incarnation, self._replica.clock()
         )
-        if not fingerprints:
-            return []
-        LOG.info(
-            "registry: target %s, incarnation %d, crashed while running %s",
-            registered.target,
-            registered.incarnation,
-            ",".join(fingerprints),
-        )
-        return [
-            commands.ReportCrash(
-                target=registered.target,
-                incarnation=str(registered.incarnation),
-                fingerprints=fingerprints,
-                time_s=clocks.wall_s(),
-                crashes_needed=broken_runs.CRASHES_TO_QUARANTINE,
+
+    def _crash_reports(self) -> list[commands.Command]:
+        """Return reports of the requests that ran when targets crashed."""
+        proposals: list[commands.Command] = []
+        crashes = self._broken_runs.pop_crashes(self._replica.clock())
+        for (target, incarnation), fingerprints in crashes.items():
+            if not fingerprints:
+                continue
+            LOG.info(
+                "registry: target %s, incarnation %d, crashed while running "
+                "%s",
+                target,
+                incarnation,
+                ",".join(fingerprints),
             )
-        ]
+            proposals.append(
+                commands.ReportCrash(
+                    target=target,
+                    incarnation=str(incarnation),
+                    fingerprints=fingerprints,
+                    time_s=clocks.wall_s(),
+                    crashes_needed=broken_runs.CRASHES_TO_QUARANTINE,
+                )
+            )
+        return proposals
 
     def _lost_targets(self, now_s: float) -> list[commands.Command]:
         silence_s_max = self._heartbeat_s * MISSED_HEARTBEATS_MAX
@@ -134,7 +139,7 @@
                         gone=False,
                     )
                 )
-                proposals.extend(self._crash_report(target))
+                self._record_crash(target)
         self._broken_runs.evict_expired(now_s)
         return proposals
 
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -75,8 +75,11 @@
             )
         except (errors.WireError, errors.RefusedError) as error:
             LOG.info("control: report to the leader failed: %s", error)
+            self._observations.restore_runs(request)
             self._entry_hosts = 0
             return
         if reply.serving:
             self._entry_hosts = reply.entry_hosts
             self._map_index = reply.map_index
+        else:
+            self._observations.restore_runs(request)
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -121,10 +121,12 @@
                 self._settings.watch_timeout_ms,
             )
         except (errors.WireError, errors.RefusedError) as error:
+            self.observations.restore_runs(request)
             self._record_disconnected(str(error))
             self._address = self._next_address()
             return False
         if not reply.serving:
+            self.observations.restore_runs(request)
             self._record_disconnected(
                 f"{self._address} does not serve the state"
             )
--- a/tests/control/test_registrar.py
+++ b/tests/control/test_registrar.py
@@ -533,6 +533,29 @@
     asyncio.run(scenario())
 
 
+def test_a_report_that_comes_after_the_crash_was_detected_counts(replica):
+    """Targets start again before the entry host's report arrives."""
+
+    async def scenario():
+        leader = new_leader(replica)
+        simulated = SimulatedTarget(
+            name="i-1", address="10.0.0.1:80", clock_slowdown=0.0
+        )
+        await leader.serve(simulated.heartbeat(replica.now_s))
+        for crash in range(3):
+            simulated.restart()
+            await leader.serve(simulated.heartbeat(replica.now_s))
+            replica.now_s += 2.0
+            leader.observe(broken_run("i-1", crash + 1, "poison"))
+            leader.observe(broken_run("i-1", crash + 1, "poison"))
+            await leader._tick()
+            record = replica.state.quarantine.crashes["poison"]
+            assert len(record.crashes) == crash + 1
+        assert replica.state.quarantine.is_quarantined("poison")
+
+    asyncio.run(scenario())
+
+
 def test_breaks_without_a_crash_quarantine_nothing(replica):
     async def scenario():
         leader = new_leader(replica)
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -88,6 +88,19 @@
     assert (reply.serving, reply.entry_hosts, reply.map_index) == (True, 80, 9)
 
 
+def test_broken_runs_are_sent_again_after_a_failed_report(relay, peers):
+    relay.watch(None, watch_request("entry-a"))
+    peers.error = errors.WireError("cut")
+    asyncio.run(run_one_interval(relay))
+    peers.error = None
+    asyncio.run(run_one_interval(relay))
+    (sent,) = peers.requests
+    assert [run.fingerprint for run in sent.broken] == ["poison"]
+    assert sent.cleared == ["popular"]
+    # Requests that were counted long ago would look like a burst.
+    assert sent.blocks == []
+
+
 def test_without_a_leader_the_number_of_hosts_is_unknown(relay, peers):
     asyncio.run(run_one_interval(relay))
     peers.error = errors.WireError("cut")
--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -84,7 +84,7 @@
         new_fleet.close()
 
 
-@pytest.mark.parametrize("restart_s", [3.0])
+@pytest.mark.parametrize("restart_s", [0.0, 3.0])
 @pytest.mark.parametrize(
     ("method", "path"), [("GET", "/look/crash"), ("POST", "/book/crash")]
 )
