--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -42,6 +42,7 @@
         self.keyed = options.keyed
         self.listen = options.listen or options.address
         self.events = options.events
+        self.limit_per_s = options.limit
         # A slow clock makes holds last longer than granted.
         self.clock_rate = 1 - options.slow
         # Highest token received by first key, also for ranges not held now.
@@ -159,6 +160,8 @@
         self.set_header("Attempt-Id", request_id)
         load = headers.get("Report-Load", "1,0,4,100")
         self.set_header("Server-Load", load)
+        if self.target.limit_per_s:
+            self.set_header("Server-Limit", str(self.target.limit_per_s))
         key = headers.get("Shard-Key")
         misdirected = headers.get("Target-Instance", self.target.name) != (
             self.target.name
@@ -201,6 +204,12 @@
     parser.add_argument("controls")
     parser.add_argument("--keyed", action="store_true")
     parser.add_argument("--events", action="store_true")
+    parser.add_argument(
+        "--limit",
+        type=float,
+        default=0.0,
+        help="limit to name, in requests per second, until SIGUSR2",
+    )
     parser.add_argument("--listen", help="if not where others reach it")
     parser.add_argument(
         "--slow", type=float, default=0.0, help="part by which a clock lags"
@@ -215,8 +224,12 @@
     def start_draining():
         target.state = "draining"
 
+    def withdraw_limit():
+        target.limit_per_s = 0.0
+
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, start_draining)
+    loop.add_signal_handler(signal.SIGUSR2, withdraw_limit)
     loop.add_signal_handler(
         signal.SIGTERM, lambda: asyncio.create_task(target.drain_and_exit())
     )
