--- a/src/goldcrestproxy/control/key_planner.py
+++ b/src/goldcrestproxy/control/key_planner.py
@@ -7,17 +7,20 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing as ty
 
 import attrs
 
 from goldcrestproxy.control import commands
+from goldcrestproxy.control import limit_reports
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import target_views
 from goldcrestproxy import registry
 from goldcrestproxy.routing import demand
 from goldcrestproxy.routing import key_placement
 from goldcrestproxy.routing import load_split
+from goldcrestproxy.routing import request_limit
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -58,10 +61,14 @@
     """Compute block weights, target shares and layouts for one term."""
 
     def __init__(
-        self, replica: replicas.Replica, views: target_views.TargetViews
+        self,
+        replica: replicas.Replica,
+        views: target_views.TargetViews,
+        limits: limit_reports.LimitReports,
     ) -> None:
         """Create a planner without measurements."""
         self._replica = replica
+        self._limits = limits
         self._views = views
         self._plans: dict[str, Plan] = {}
         # When each block was first seen free, by service and first key.
@@ -175,6 +182,7 @@
                 work_ms=demand.estimated_work_ms(
                     work_times[target.target], mean_ms, now_s
                 ),
+                limit_per_s=self._usable_limit_per_s(target),
             )
             for target in eligible
         }
@@ -182,6 +190,15 @@
             capacities, self.demand_of(service).requests_per_s(now_s)
         )
 
+    def _usable_limit_per_s(self, target: registry.RegisteredTarget) -> float:
+        limit_per_s = self._limits.limit_per_s(target)
+        if limit_per_s is None:
+            return math.inf
+        return (
+            max(request_limit.LIMIT_PER_S_MIN, limit_per_s)
+            * request_limit.USED_SHARE
+        )
+
     def _eligible_targets(
         self, service: str
     ) -> list[registry.RegisteredTarget]:
--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -116,14 +116,17 @@
             self._feeder.feed(
                 channel, request.applied_index, entry=bool(request.entry)
             )
+        limits = None
         if leading and self.registrar is not None:
             self.registrar.observe(request)
+            limits = self.registrar.target_limits()
         return wire.ttypes.WatchReply(
             serving=leading,
             leader_address="",
             leader_peer_port=0,
             entry_hosts=self._entry_hosts(now_s),
             map_index=self._replica.state.map_index,
+            limits=limits,
         )
 
     def _entry_hosts(self, now_s: float) -> int:
--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -5,6 +5,8 @@
 import collections
 import typing as ty
 
+import attrs
+
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy import wire
 
@@ -12,6 +14,15 @@
 BROKEN_RUNS_MAX: ty.Final = 50
 
 
+@attrs.define
+class _LimitReport:
+    """The latest limit of a target and the requests that callers had."""
+
+    limit_per_s: float | None = None
+    withdrawn: bool = False
+    offered_requests: int = 0
+
+
 class Observations:
     """Count requests per key block and processing time per target."""
 
@@ -23,6 +34,7 @@
         self._work: dict[tuple[str, int], tuple[float, int]] = {}
         self._broken_runs: list[wire.ttypes.BrokenRun] = []
         self._cleared: set[str] = set()
+        self._limits: dict[tuple[str, int], _LimitReport] = {}
 
     def count_request(self, service: str, block: int) -> None:
         """Count a request for a key in a block."""
@@ -59,6 +71,24 @@
                 )
             )
 
+    def record_limit(
+        self, target: str, incarnation: int, limit_per_s: float | None
+    ) -> None:
+        """Record the limit that an answer of a target named, if any."""
+        report = self._limit_report(target, incarnation)
+        report.limit_per_s = limit_per_s
+        report.withdrawn = limit_per_s is None
+
+    def count_offered(
+        self, target: str, incarnation: int, requests: int = 1
+    ) -> None:
+        """Count requests that callers have for a target with a limit."""
+        report = self._limit_report(target, incarnation)
+        report.offered_requests += requests
+
+    def _limit_report(self, target: str, incarnation: int) -> _LimitReport:
+        return self._limits.setdefault((target, incarnation), _LimitReport())
+
     def record_cleared(self, fingerprint: str) -> None:
         """Record that a target has answered a request under suspicion."""
         self._cleared.add(fingerprint)
@@ -75,6 +105,14 @@
             self._blocks[block.service_name, block.first_key] += block.requests
         self._broken_runs.extend(request.broken or ())
         self._cleared.update(request.cleared or ())
+        for limit in request.limits or ():
+            if limit.limit_per_s is not None or limit.withdrawn:
+                self.record_limit(
+                    limit.target, limit.incarnation, limit.limit_per_s
+                )
+            self.count_offered(
+                limit.target, limit.incarnation, limit.offered_requests or 0
+            )
 
     def restore_runs(self, request: wire.ttypes.WatchRequest) -> None:
         """Keep the runs of a report that may not have arrived.
@@ -112,6 +150,17 @@
         ]
         request.broken = self._broken_runs
         self._broken_runs = []
+        request.limits = [
+            wire.ttypes.TargetLimit(
+                target=target,
+                incarnation=incarnation,
+                limit_per_s=report.limit_per_s,
+                withdrawn=report.withdrawn,
+                offered_requests=report.offered_requests,
+            )
+            for (target, incarnation), report in self._limits.items()
+        ]
+        self._limits = {}
         request.cleared = sorted(self._cleared)
         self._cleared = set()
         self._blocks.clear()
--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -26,6 +26,7 @@
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import granted_ranges
 from goldcrestproxy.control import key_planner
+from goldcrestproxy.control import limit_reports
 from goldcrestproxy.control import outcomes
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import replication as replications
@@ -88,7 +89,10 @@
         )
         self._rng = rng or random.Random()
         self._views = target_views.TargetViews()
-        self._planner = key_planner.KeyPlanner(replica, self._views)
+        self._limits = limit_reports.LimitReports(replica)
+        self._planner = key_planner.KeyPlanner(
+            replica, self._views, self._limits
+        )
         self._losses = target_losses.TargetLosses(
             replica, self._views, settings.heartbeat_ms / 1000
         )
@@ -116,6 +120,11 @@
         """Record the measurements reported by an entry host."""
         self._planner.observe(report)
         self._losses.observe(report)
+        self._limits.observe(report)
+
+    def target_limits(self) -> list[wire.ttypes.TargetLimit]:
+        """Return the limits that targets name, for entry hosts."""
+        return self._limits.reply()
 
     async def serve(self, call: registry.Call) -> registry.Answer:
         """Execute a call and return the answer.
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -32,6 +32,8 @@
         # From the leader's last reply; 0 while unknown.
         self._entry_hosts = 0
         self._map_index = 0
+        # None while unknown.
+        self._limits: list[wire.ttypes.TargetLimit] | None = None
 
     def watch(
         self, channel: wire.Channel, request: wire.ttypes.WatchRequest
@@ -47,6 +49,7 @@
             leader_peer_port=0,
             entry_hosts=self._entry_hosts,
             map_index=max(self._map_index, self._replica.state.map_index),
+            limits=self._limits,
         )
 
     async def run(self) -> None:
@@ -56,6 +59,7 @@
             leader = formation.leader_address(self._replica)
             if leader is None or self._replica.is_leader:
                 self._entry_hosts = 0
+                self._limits = None
                 continue
             await self._report(leader)
 
@@ -77,8 +81,10 @@
             LOG.info("control: report to the leader failed: %s", error)
             self._observations.restore_runs(request)
             self._entry_hosts = 0
+            self._limits = None
             return
         if reply.serving:
+            self._limits = reply.limits
             self._entry_hosts = reply.entry_hosts
             self._map_index = reply.map_index
         else:
--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -18,6 +18,7 @@
 from goldcrestproxy.routing import admission
 from goldcrestproxy.routing import concurrency
 from goldcrestproxy.routing import rates
+from goldcrestproxy.routing import request_limit
 from goldcrestproxy import targets
 from goldcrestproxy import wire
 
@@ -63,7 +64,10 @@
         self.limit = limit
         self.handing_over = False
         self.in_flight = in_flight.InFlight()
-        self.admission = admission.Admission(limit, queue_requests_max, clock)
+        request_rate = request_limit.RequestLimit()
+        self.admission = admission.Admission(
+            limit, queue_requests_max, clock, request_rate
+        )
         self.slot_rates = rates.RateMeter()
         self.hot_keys = rates.HotKeySketch()
         self._link = link
@@ -81,6 +85,7 @@
             self._in_flight_of,
             self.report_crash,
             host,
+            request_rate,
         )
         self._agent_task: asyncio.Task[None] | None = None
 
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -298,6 +298,7 @@
         else:
             target = self._choose_from_pool(state)
         self._refuse_if_too_late(state, target)
+        self._refuse_beyond_limit(state, target)
         if (
             service is not None
             and self._fleet.is_cold(target)
@@ -313,8 +314,36 @@
                 f"target {target.name} is cold",
                 SHED_RETRY_AFTER_MS,
             )
+        target.limit.take(self._clock(), self._fleet.entry_hosts)
         return target
 
+    def _refuse_beyond_limit(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> None:
+        """Refuse a request for which its target's limit has no room.
+
+        :raises RefusedError: when this host's part of the limit is used up
+        """
+        limit, now_s = target.limit, self._clock()
+        hosts = self._fleet.entry_hosts
+        if limit.limit_per_s is not None:
+            limit.count_offered(now_s)
+            self._fleet.observations.count_offered(
+                target.name, target.record.incarnation
+            )
+        if limit.has_room(now_s, hosts):
+            return
+        self._metrics.beyond_limits.add(1)
+        raise self._not_run_refusal(
+            state,
+            results.OVERLOADED,
+            f"target {target.name} takes {limit.limit_per_s} requests a "
+            "second",
+            max(SHED_RETRY_AFTER_MS, limit.retry_after_ms(now_s, hosts)),
+        )
+
     def _is_keyed(self, name: str) -> bool:
         service = self._fleet.services.get(name)
         return service is not None and service.keyed
@@ -393,6 +422,7 @@
     ) -> fleet_map.TrackedTarget:
         pool = self._fleet.available_targets(state.service)
         untried = [t for t in pool if t.name not in state.sent_to]
+        candidates = self._with_room(untried) or self._with_room(pool) or pool
         chosen = target_choice.choose_from_pool(
             [
                 target_choice.PoolMember(
@@ -400,7 +430,7 @@
                     zone=tracked.record.zone,
                     stats=tracked.stats,
                 )
-                for tracked in untried or pool
+                for tracked in candidates
             ],
             self._zone,
             self._clock(),
@@ -415,6 +445,13 @@
             )
         return self._fleet.targets[chosen.target]
 
+    def _with_room(
+        self, targets: list[fleet_map.TrackedTarget]
+    ) -> list[fleet_map.TrackedTarget]:
+        """Return the targets whose limits allow another request."""
+        now_s, hosts = self._clock(), self._fleet.entry_hosts
+        return [t for t in targets if t.limit.has_room(now_s, hosts)]
+
     def _not_run_refusal(
         self,
         state: dispatch_state.DispatchState,
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -12,8 +12,10 @@
 from goldcrestproxy.entries import state_watcher
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import request_limit
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
+from goldcrestproxy import wire
 
 # A quarantined request is let through again after this, since a harmless one
 # may have the same fingerprint; the next crash quarantines it anew.
@@ -35,7 +37,7 @@
 
 @attrs.define(kw_only=True)
 class TrackedTarget:
-    """A target's record with this host's statistics and cold-start limits.
+    """A target's record with this host's statistics and its limits.
 
     The target is cold until ``cold_until_s``, monotonic time.
     """
@@ -44,7 +46,11 @@
     stats: target_choice.TargetStats
     cold_index: int = 0
     cold_until_s: float = 0.0
-    rate: cold_rate.ColdRateLimiter = attrs.field()
+    rate: cold_rate.ColdRateLimiter
+    # The limit that the target names in its answers.
+    limit: request_limit.RequestLimit = attrs.field(
+        factory=request_limit.RequestLimit
+    )
 
     @property
     def name(self) -> str:
@@ -80,6 +86,7 @@
         self._revision = -1
         self._items_revision = -1
         watcher.add_listener(self._refresh)
+        watcher.add_limit_listener(self._apply_limits)
 
     @property
     def registry(self) -> registry.RegistryState:
@@ -186,6 +193,21 @@
         """Whether a target is still in its cold period."""
         return self._clock() < target.cold_until_s
 
+    def _apply_limits(self, limits: list[wire.ttypes.TargetLimit]) -> None:
+        """Store the limits that all hosts together know."""
+        now_s = self._clock()
+        by_target = {
+            (limit.target, limit.incarnation): request_limit.FleetLimit(
+                limit_per_s=limit.limit_per_s,
+                offered_per_s=limit.offered_per_s,
+            )
+            for limit in limits
+        }
+        for tracked in self.targets.values():
+            limit = by_target.get((tracked.name, tracked.record.incarnation))
+            if limit is not None or tracked.limit.limit_per_s is not None:
+                tracked.limit.record_fleet(limit, now_s)
+
     def _refresh(self) -> None:
         state = self.registry
         if state.revision == self._revision:
@@ -223,6 +245,7 @@
                 rate=cold_rate.ColdRateLimiter(
                     tokens=self._rng.random(), refilled_s=now_s
                 ),
+                limit=request_limit.RequestLimit(tokens=self._rng.random()),
             )
         tracked.record = record
         if record.cold_index != tracked.cold_index:
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -170,6 +170,7 @@
         now_s = self._clock()
         if metadata.load is not None:
             target.stats.record_load(metadata.load, now_s)
+        self._record_limit(target, metadata.limit_per_s, now_s)
         body, complete = await self._read_start(transfer)
         answer = fleet_request.FleetAnswer(
             status=head.status,
@@ -198,6 +199,29 @@
             raise SendError(fleet_retries.Failed(status=head.status), answer)
         return answer
 
+    def _record_limit(
+        self,
+        target: fleet_map.TrackedTarget,
+        limit_per_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Apply the limit that the latest answer of a target named."""
+        previous_per_s = target.limit.limit_per_s
+        target.limit.record_answer(limit_per_s, now_s)
+        if limit_per_s is not None or previous_per_s is not None:
+            self._observations.record_limit(
+                target.name, target.record.incarnation, limit_per_s
+            )
+        if target.limit.limit_per_s != previous_per_s:
+            telemetry.log_event(
+                LOG,
+                "entries: limit of a target changed",
+                target=target.name,
+                incarnation=target.record.incarnation,
+                previous_per_s=previous_per_s,
+                limit_per_s=target.limit.limit_per_s,
+            )
+
     async def _read_start(
         self, transfer: targets.Transfer
     ) -> tuple[bytes, bool]:
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -28,6 +28,8 @@
 # Interval at which the preferred control host is tried again.
 PREFERRED_RETRY_S: ty.Final = 5.0
 
+LimitListener = ty.Callable[[list[wire.ttypes.TargetLimit]], None]
+
 
 @attrs.frozen(kw_only=True)
 class WatcherSettings:
@@ -70,6 +72,7 @@
         # Time of the last answer of a control host, None before the first.
         self.last_answer_s: float | None = None
         self.observations = observations.Observations()
+        self._limit_listeners: list[LimitListener] = []
         self._settings = watcher_settings
         self._peers = peers
         self._clock = clock
@@ -78,6 +81,10 @@
         self._preferred_tried_s = clock()
         self._connected = False
 
+    def add_limit_listener(self, callback: LimitListener) -> None:
+        """Call ``callback`` with all limits of targets after each report."""
+        self._limit_listeners.append(callback)
+
     @property
     def entry_hosts(self) -> int:
         """Number of entry hosts that share common limits."""
@@ -136,6 +143,9 @@
         self.last_answer_s = self._clock()
         self._update_current(reply.map_index)
         self._entry_hosts = reply.entry_hosts or self._entry_hosts
+        if reply.limits is not None:
+            for callback in self._limit_listeners:
+                callback(reply.limits)
         return True
 
     def _update_current(self, map_index: int) -> None:
--- a/src/goldcrestproxy/platform/conventions.py
+++ b/src/goldcrestproxy/platform/conventions.py
@@ -17,6 +17,7 @@
 EXPECTED_TARGET: ty.Final = "Target-Instance"
 NOT_RUN: ty.Final = "Not-Executed"
 LOAD: ty.Final = "Server-Load"
+LIMIT: ty.Final = "Server-Limit"
 # Status with which a target rejects a request because it does not own the
 # key or is not the expected target.
 STATUS_MISDIRECTED: ty.Final = 421
@@ -45,6 +46,7 @@
 _LOAD_PATTERN: ty.Final = re.compile(
     r"\s*(\d{1,9}),(\d{1,9}),(\d{1,9})(?:,(\d{1,9}))?\s*"
 )
+_LIMIT_PATTERN: ty.Final = re.compile(r"\s*(\d{1,9}(?:\.\d{0,9})?)\s*")
 
 
 class PlatformHeaders:
@@ -83,6 +85,7 @@
             not_run=misdirected or NOT_RUN in headers,
             misdirected=misdirected,
             load=read_load(headers.get(LOAD, "")),
+            limit_per_s=read_limit(headers.get(LIMIT, "")),
         )
 
     def caller_headers(
@@ -108,6 +111,12 @@
     )
 
 
+def read_limit(value: str) -> float | None:
+    """Return a target's limit in requests per second, None if malformed."""
+    match = _LIMIT_PATTERN.fullmatch(value)
+    return None if match is None else float(match.group(1))
+
+
 def read_load(value: str) -> target_choice.LoadReport | None:
     """Return a target's load report, or None if missing or malformed."""
     match = _LOAD_PATTERN.fullmatch(value)
--- a/src/goldcrestproxy/routing/admission.py
+++ b/src/goldcrestproxy/routing/admission.py
@@ -17,9 +17,12 @@
 
 from goldcrestproxy import results
 from goldcrestproxy.routing import concurrency
+from goldcrestproxy.routing import request_limit
 
 RETRY_AFTER_MS_MIN: ty.Final = 50
 RETRY_AFTER_MS_MAX: ty.Final = 5_000
+# All requests of a target pass through its coordinator.
+SENDING_HOSTS: ty.Final = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -46,13 +49,16 @@
         limit: concurrency.ConcurrencyLimit,
         queue_requests_max: int,
         clock: ty.Callable[[], float],
+        request_rate: request_limit.RequestLimit | None = None,
     ) -> None:
         """Create an idle queue.
 
         :param limit: requests that may run concurrently
         :param queue_requests_max: requests that may wait
         :param clock: returns monotonic time in seconds
+        :param request_rate: requests per second that the target takes
         """
+        self._request_rate = request_rate or request_limit.RequestLimit()
         self.limit = limit
         self.running = 0
         self._queue_requests_max = queue_requests_max
@@ -71,14 +77,17 @@
     async def acquire(self, request: AdmissionRequest) -> None:
         """Wait until the request may run; ``release`` must follow.
 
-        :raises RefusedError: immediately when the queue is full or the
-            request would complete too late, and when its deadline passes
-            in the queue
+        :raises RefusedError: immediately when the target's request rate is
+            used up, the queue is full or the request would complete too late,
+            and when its deadline passes in the queue
         """
+        self._refuse_beyond_rate()
         if not self._waiting_count and self.running < self.limit.allowed:
+            self._count_request()
             self.running += 1
             return
         self._refuse_if_too_late(request)
+        self._count_request()
         waiter = self._add(request)
         try:
             async with asyncio.timeout(request.deadline_s - self._clock()):
@@ -119,6 +128,23 @@
         rounds = (self.backlog_requests + 1) / self.limit.allowed - 1
         return max(0.0, rounds) * baseline_ms
 
+    def _refuse_beyond_rate(self) -> None:
+        now_s = self._clock()
+        if self._request_rate.has_room(now_s, SENDING_HOSTS):
+            return
+        raise results.refusal(
+            results.OVERLOADED,
+            f"the target takes {self._request_rate.limit_per_s} requests a "
+            "second",
+            max(
+                RETRY_AFTER_MS_MIN,
+                self._request_rate.retry_after_ms(now_s, SENDING_HOSTS),
+            ),
+        )
+
+    def _count_request(self) -> None:
+        self._request_rate.take(self._clock(), SENDING_HOSTS)
+
     def _refuse_if_too_late(self, request: AdmissionRequest) -> None:
         remaining_ms = (request.deadline_s - self._clock()) * 1000
         wait_ms = self.expected_wait_ms(request.operation)
--- a/src/goldcrestproxy/routing/demand.py
+++ b/src/goldcrestproxy/routing/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as ty
 
 import attrs
@@ -56,6 +57,10 @@
         decay: float = 0.5 ** ((now_s - self._updated_s) / (self.window_s / 2))
         return self.value * decay
 
+    def rate_per_s(self, now_s: float) -> float:
+        """Return the rate at which amounts of one would give this sum."""
+        return self.read(now_s) * math.log(2) / (self.window_s / 2)
+
 
 @attrs.define
 class DecayingCounts:
--- a/src/goldcrestproxy/routing/load_split.py
+++ b/src/goldcrestproxy/routing/load_split.py
@@ -23,15 +23,16 @@
 
 @attrs.frozen(kw_only=True)
 class TargetCapacity:
-    """A target's slots and its mean work time per request."""
+    """A target's slots, mean work time per request and named limit."""
 
     slots: int
     work_ms: float
+    limit_per_s: float = math.inf
 
     @property
     def requests_per_s(self) -> float:
         """Maximum throughput of the target."""
-        return self.slots * 1000 / self.work_ms
+        return min(self.slots * 1000 / self.work_ms, self.limit_per_s)
 
 
 def divide(
--- a/src/goldcrestproxy/targets/conventions.py
+++ b/src/goldcrestproxy/targets/conventions.py
@@ -48,9 +48,11 @@
 
     ``not_run`` guarantees that the target has not run the request and will
     not run it. ``misdirected`` means that the target does not own the key or
-    is not the expected target.
+    is not the expected target. ``limit_per_s`` is the rate of requests that
+    the target takes from all hosts together, None if it names none.
     """
 
     not_run: bool
     misdirected: bool
     load: target_choice.LoadReport | None
+    limit_per_s: float | None = None
--- a/src/goldcrestproxy/targets/protocol.py
+++ b/src/goldcrestproxy/targets/protocol.py
@@ -141,13 +141,18 @@
 
 @attrs.frozen(kw_only=True)
 class GrantAnswer:
-    """A target's answer to an order."""
+    """A target's answer to an order.
+
+    ``limit_per_s`` is the rate of requests that the target takes, None if it
+    names none.
+    """
 
     incarnation: str
     clock_ms: int
     order: int
     cold: bool = False
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 def read_grant_answer(body: bytes) -> GrantAnswer:
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -43,6 +43,10 @@
             "goldcrestproxy.refusals",
             description="Requests that this host refused, by result code.",
         )
+        self.beyond_limits = meter.create_counter(
+            "goldcrestproxy.beyond_limits",
+            description="Requests refused for the limit that a target named.",
+        )
         self.heartbeats = meter.create_counter(
             "goldcrestproxy.heartbeats",
             description="Heartbeats of targets, by how they were answered.",
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -214,6 +214,20 @@
   3: i64 incarnation,
 }
 
+/** The rate of requests that a target takes from all hosts together. */
+struct TargetLimit {
+  1: string target,
+  2: i64 incarnation,
+  /** Named by the latest answer of the target. */
+  3: optional double limit_per_s,
+  /** The latest answer named none. */
+  4: optional bool withdrawn,
+  /** In reports: requests that callers had for it since the last report. */
+  5: optional i32 offered_requests,
+  /** In replies: the rate of such requests at all hosts. */
+  6: optional double offered_per_s,
+}
+
 /** A daemon follows the replicated state without holding a lease. */
 struct WatchRequest {
   1: string host,
@@ -228,6 +242,7 @@
   9: optional i32 relayed_watchers,
   /** Fingerprints suspected of crashes whose requests a target answered. */
   10: list<string> cleared,
+  11: list<TargetLimit> limits,
 }
 
 struct WatchReply {
@@ -239,6 +254,8 @@
   4: i32 entry_hosts,
   /** The newest entry that daemons must know of. */
   5: i64 map_index,
+  /** All limits that targets name, absent while the leader is not known. */
+  6: optional list<TargetLimit> limits,
 }
 
 /** A call of a target or operator, passed on to the leader. */
--- a/tests/control/test_registrar.py
+++ b/tests/control/test_registrar.py
@@ -479,6 +479,54 @@
     return watch_request(cleared=[fingerprint])
 
 
+def test_a_target_that_names_a_limit_owns_fewer_keys(replica):
+    async def scenario():
+        leader = new_leader(replica)
+        simulated = [
+            SimulatedTarget(
+                name=f"i-{n}", address=f"10.0.0.{n}:80", clock_slowdown=0.0
+            )
+            for n in range(4)
+        ]
+        await lay_out(leader, replica, simulated)
+        space = replica.state.registry.keyspaces["desk"]
+        before = len(space.owned_by("i-0"))
+        limit = wire.ttypes.TargetLimit(
+            target="i-0", incarnation=1, limit_per_s=1.0
+        )
+        leader.observe(watch_request(limits=[limit]))
+        await beat_for(leader, replica, simulated, 15.0)
+        assert len(space.owned_by("i-0")) < before / 2
+        assert [t.target for t in leader.target_limits()] == ["i-0"]
+
+        withdrawn = wire.ttypes.TargetLimit(
+            target="i-0", incarnation=1, withdrawn=True
+        )
+        leader.observe(watch_request(limits=[withdrawn]))
+        assert leader.target_limits() == []
+        await beat_for(leader, replica, simulated, 15.0)
+        assert len(space.owned_by("i-0")) > before / 2
+
+    asyncio.run(scenario())
+
+
+async def lay_out(leader, replica, simulated):
+    await beat_for(leader, replica, simulated, 4.0)
+    assert "desk" in replica.state.registry.keyspaces
+
+
+async def beat_for(leader, replica, simulated, duration_s):
+    """Let targets send heartbeats and obey the answers."""
+    end_s = replica.now_s + duration_s
+    while replica.now_s < end_s:
+        for target in simulated:
+            sent_s = replica.now_s
+            answer = await leader.serve(target.heartbeat(sent_s))
+            target.apply_answer(answer, sent_s, sent_s)
+        replica.now_s += 0.4
+        await leader._tick()
+
+
 def test_a_request_that_crashes_targets_is_quarantined(replica):
     """Two crashes are detected by a restart, the third by silence."""
 
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -27,7 +27,17 @@
             raise self.error
         self.requests.append(request)
         return wire.ttypes.WatchReply(
-            serving=True, entry_hosts=80, map_index=9
+            serving=True,
+            entry_hosts=80,
+            map_index=9,
+            limits=[
+                wire.ttypes.TargetLimit(
+                    target="t1",
+                    incarnation=1,
+                    limit_per_s=2.5,
+                    offered_per_s=9.0,
+                )
+            ],
         )
 
 
@@ -60,6 +70,9 @@
     observed.count_request("desk", 64)
     observed.record_broken_run("t1", 1, "poison")
     observed.record_cleared("popular")
+    observed.record_limit("t1", 1, 2.5)
+    observed.count_offered("t1", 1)
+    observed.record_limit("t2", 1, None)
     request = wire.ttypes.WatchRequest(
         host=host, session="s", zone="z", applied_index=0, entry=True
     )
@@ -83,9 +96,19 @@
     assert sent.cleared == ["popular"]
     decoded = wire.decode(wire.ttypes.WatchRequest, wire.encode(sent))
     assert decoded.cleared == ["popular"]
+    first, second = decoded.limits
+    assert (first.limit_per_s, first.offered_requests) == (2.5, 2)
+    assert (second.limit_per_s, second.withdrawn) == (None, True)
     assert sent.relayed_watchers == 2
     reply = relay.watch(None, watch_request("entry-a"))
+    reply = wire.decode(wire.ttypes.WatchReply, wire.encode(reply))
     assert (reply.serving, reply.entry_hosts, reply.map_index) == (True, 80, 9)
+    (limit,) = reply.limits
+    assert (limit.target, limit.limit_per_s, limit.offered_per_s) == (
+        "t1",
+        2.5,
+        9.0,
+    )
 
 
 def test_broken_runs_are_sent_again_after_a_failed_report(relay, peers):
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -12,6 +12,7 @@
 import attrs
 import pytest
 
+from goldcrestproxy.control import observations
 from goldcrestproxy import entries
 from goldcrestproxy.entries import fingerprints
 from goldcrestproxy.entries import fleet_map
@@ -93,8 +94,10 @@
             stats=target_choice.TargetStats(slots=4),
             rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
         )
+        self.targets = {"t1": self.target}
         self.cold = False
         self.misdirected = False
+        self.observations = observations.Observations()
         self.quarantined = set()
         self.suspected = set()
         self.cleared = set()
@@ -106,6 +109,9 @@
     def clear_suspicion(self, fingerprint):
         self.cleared |= self.suspected & {fingerprint}
 
+    def available_targets(self, _service):
+        return list(self.targets.values())
+
     def owner(self, _service, _key):
         return None if self.misdirected else self.target
 
@@ -132,9 +138,11 @@
     pause_after: bool = False
     sent: int = 0
     deadlines_s: list = attrs.field(factory=list)
+    targets: list = attrs.field(factory=list)
 
-    async def send(self, *_, on_sent, deadline_s, **__):
-        self.deadlines_s.append(deadline_s)
+    async def send(self, _request, _body, target, *, on_sent, **options):
+        self.deadlines_s.append(options["deadline_s"])
+        self.targets.append(target.name)
         outcome = self.outcomes.pop(0)
         if outcome is NO_CONNECTION:
             await asyncio.Event().wait()
@@ -274,6 +282,52 @@
     assert sender.sent == 0
 
 
+def test_request_beyond_its_owners_limit_is_refused_at_once_as_not_run():
+    fleet = FakeFleet(UNSAFE)
+    fleet.target.limit.record_answer(0.5, 1.0)
+    sender = FakeSender(fleet, [])
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, sender)
+    assert refused.value.code == results.OVERLOADED
+    assert results.BY_CODE[refused.value.code].outcome is (
+        results.Outcome.NOT_RUN
+    )
+    assert refused.value.retry_after_ms > 0
+    assert sender.sent == 0
+    report = wire.ttypes.WatchRequest()
+    fleet.observations.flush_into(report)
+    (limit,) = report.limits
+    assert (limit.target, limit.offered_requests) == ("t1", 1)
+
+
+def test_retry_beyond_a_limit_does_not_hide_that_the_first_may_have_run():
+    fleet = FakeFleet(SAFE)
+    fleet.target.limit.tokens = 1.0
+    fleet.target.limit.record_answer(0.5, 1.0)
+    sender = FakeSender(
+        fleet, [failed(fleet_retries.MaybeRun(text="cut")), ANSWER]
+    )
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, sender)
+    assert refused.value.code == results.OUTCOME_UNKNOWN
+    assert sender.sent == 1
+
+
+def test_requests_beyond_a_limit_go_to_another_target_of_the_pool():
+    fleet = FakeFleet(SAFE)
+    fleet.services["s"] = attrs.evolve(fleet.services["s"], keyed=False)
+    fleet.target.limit.record_answer(0.5, 1.0)
+    other = fleet_map.TrackedTarget(
+        record=attrs.evolve(TARGET, target="t2", zone="zone-b"),
+        stats=target_choice.TargetStats(slots=1, work_ms=400.0),
+        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+    )
+    fleet.targets["t2"] = other
+    sender = FakeSender(fleet, [ANSWER])
+    assert dispatch(fleet, sender) is ANSWER
+    assert sender.targets == ["t2"]
+
+
 def body_of(chunks):
     pipe = wire.Pipe()
     for chunk in chunks:
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -42,6 +42,9 @@
     def add_listener(self, callback):
         self._listeners.append(callback)
 
+    def add_limit_listener(self, callback):
+        self.name_limits = callback
+
     def apply(self, command):
         self.state.apply(self.state.applied_index + 1, command)
         for callback in self._listeners:
@@ -132,3 +135,15 @@
     counts = [first.count(seed) for seed in seeds]
     assert min(counts) >= 6
     assert max(counts) <= 28
+
+
+def test_limits_that_other_hosts_were_told_bind_here(fleet, watcher, clock):
+    limit = wire.ttypes.TargetLimit(
+        target="a", incarnation=1, limit_per_s=2.0, offered_per_s=8.0
+    )
+    watcher.name_limits([limit])
+    assert fleet.targets["a"].limit.limit_per_s == 2.0
+    assert fleet.targets["b"].limit.limit_per_s is None
+    clock.now_s += 1.0
+    watcher.name_limits([])
+    assert fleet.targets["a"].limit.limit_per_s is None
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -109,6 +109,29 @@
     return respond
 
 
+@pytest.mark.parametrize(
+    ("status", "not_run"), [(200, ""), (503, "Not-Executed: 1\r\n")]
+)
+def test_a_limit_is_in_force_while_answers_name_it(status, not_run):
+    limits = ["Server-Limit: 23.4\r\n", "Server-Limit: 2\r\n", ""]
+
+    async def respond(server, number, reader, writer):
+        limit = limits[len(server.requests) - 1]
+        writer.write(
+            f"HTTP/1.1 {status} X\r\nAttempt-Id: r1\r\n{limit}{not_run}"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        return True
+
+    async def scenario(attempts):
+        for expected in (23.4, 2.0, None):
+            with contextlib.suppress(sending.SendError):
+                await attempts.send(5)
+            assert attempts.target.limit.limit_per_s == expected
+
+    run(respond, scenario)
+
+
 @pytest.fixture
 def single_handle(monkeypatch):
     """Let each client have one handle only."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -265,3 +265,20 @@
     load = conventions.read_load(text)
     assert load is None or load.slots >= 1
     assert conventions.read_load("3,0,8,150").slowdown == 1.5
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_per_s"),
+    [
+        ("23.4", 23.4),
+        (" 2 ", 2.0),
+        ("0", 0.0),
+        ("", None),
+        ("-1", None),
+        ("1e9", None),
+        ("nan", None),
+        ("many", None),
+    ],
+)
+def test_limits_of_targets_are_decimal_numbers(value, limit_per_s):
+    assert conventions.read_limit(value) == limit_per_s
--- /dev/null
+++ b/tests/routing/test_request_limit.py
@@ -0,0 +1,226 @@
+"""Limits of targets: what targets get and what callers get, under a load.
+
+Hosts, targets and reports are simulated: a host learns of a limit from its
+own answers and, later, from the reports of all hosts.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+import attrs
+import pytest
+
+from goldcrestproxy.routing import request_limit
+
+STEP_S = 0.01
+ANSWER_S = 0.03
+REPORT_S = 0.5
+# Limits bind from this time after a target first named its limit.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+# Requests count from hosts that an answer had told this long before.
+TOLD_S = 0.5
+RUNNING_S = 30.0
+TARGET = ("t", 1)
+
+
+@attrs.define
+class Host:
+    """An entry host and the callers that send to it."""
+
+    limit: request_limit.RequestLimit
+    requests_per_s: float
+    # When an answer to this host first named a limit.
+    told_s: float = math.inf
+    offered: int = 0
+    sent: int = 0
+    refused: int = 0
+
+
+@attrs.define
+class Play:
+    """A load on one target, whose limit ``limit_at`` returns by time."""
+
+    hosts: list
+    rng: random.Random
+    limit_at: object
+    # Whether the hosts' reports are exchanged.
+    connected: bool = True
+    now_s: float = 0.0
+    sent_s: list = attrs.field(factory=list)
+    # Those from hosts that had been told long enough before.
+    told_sent_s: list = attrs.field(factory=list)
+    retry_after_ms: list = attrs.field(factory=list)
+    _answers: list = attrs.field(factory=list)
+    _reports: request_limit.NamedLimits = attrs.field(
+        factory=request_limit.NamedLimits
+    )
+    _next_report_s: float = REPORT_S
+
+    def run(self, until_s):
+        while self.now_s < until_s:
+            self.now_s += STEP_S
+            self._deliver_answers()
+            for host in self.hosts:
+                if self.rng.random() < host.requests_per_s * STEP_S:
+                    self._request(host)
+            if self.connected and self.now_s >= self._next_report_s:
+                self._next_report_s += REPORT_S
+                self._report()
+
+    def _request(self, host):
+        count = len(self.hosts)
+        if host.limit.limit_per_s is not None:
+            host.limit.count_offered(self.now_s)
+            host.offered += 1
+        if host.limit.take(self.now_s, count):
+            host.sent += 1
+            self.sent_s.append(self.now_s)
+            if self.now_s >= host.told_s + TOLD_S:
+                self.told_sent_s.append(self.now_s)
+            self._answers.append(
+                (self.now_s + ANSWER_S, host, self.limit_at(self.now_s))
+            )
+            return
+        host.refused += 1
+        self.retry_after_ms.append(
+            host.limit.retry_after_ms(self.now_s, count)
+        )
+
+    def _deliver_answers(self):
+        while self._answers and self._answers[0][0] <= self.now_s:
+            _, host, limit_per_s = self._answers.pop(0)
+            previous_per_s = host.limit.limit_per_s
+            host.limit.record_answer(limit_per_s, self.now_s)
+            if limit_per_s is not None:
+                host.told_s = min(host.told_s, self.now_s)
+            if limit_per_s is not None or previous_per_s is not None:
+                self._reports.record(*TARGET, limit_per_s)
+
+    def _report(self):
+        for host in self.hosts:
+            if host.offered:
+                self._reports.count_offered(*TARGET, host.offered, self.now_s)
+                host.offered = 0
+        fleet_limit = self._reports.read(self.now_s).get(TARGET)
+        for host in self.hosts:
+            if fleet_limit or host.limit.limit_per_s is not None:
+                host.limit.record_fleet(fleet_limit, self.now_s)
+
+    def sent_between(self, start_s, end_s):
+        return sum(start_s <= t < end_s for t in self.sent_s)
+
+    def most_in_a_window(self, start_s, end_s):
+        times = [t for t in self.told_sent_s if start_s <= t < end_s]
+        counts = [
+            sum(first <= t < first + WINDOW_S for t in times[n:])
+            for n, first in enumerate(times)
+        ]
+        return max(counts, default=0)
+
+
+def make_play(host_count, requests_per_s, limit_at, *, seed=1, even=False):
+    """Return a play whose hosts get uneven parts of the requests."""
+    rng = random.Random(seed)
+    parts = [1.0 if even else 0.2 + rng.random() for _ in range(host_count)]
+    return Play(
+        hosts=[
+            Host(
+                limit=request_limit.RequestLimit(tokens=rng.random()),
+                requests_per_s=requests_per_s * part / sum(parts),
+            )
+            for part in parts
+        ],
+        rng=rng,
+        limit_at=limit_at,
+    )
+
+
+def window_max(limit_per_s):
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("connected", [True, False])
+@pytest.mark.parametrize("host_count", [1, 8, 80])
+@pytest.mark.parametrize("limit_per_s", [0.4, 1.4, 13.0, 60.0])
+def test_all_hosts_together_keep_to_a_limit(
+    limit_per_s, host_count, connected, seed
+):
+    play = make_play(
+        host_count, 4 * limit_per_s, lambda _: limit_per_s, seed=seed
+    )
+    play.connected = connected
+    play.run(CONTACT_S + RUNNING_S)
+    assert play.most_in_a_window(
+        CONTACT_S, CONTACT_S + RUNNING_S
+    ) <= window_max(limit_per_s)
+
+
+@pytest.mark.parametrize("host_count", [1, 8, 80])
+@pytest.mark.parametrize("limit_per_s", [1.4, 13.0, 60.0])
+def test_callers_get_most_of_what_a_target_takes(limit_per_s, host_count):
+    play = make_play(host_count, 3 * limit_per_s, lambda _: limit_per_s)
+    play.run(CONTACT_S + RUNNING_S)
+    sent = play.sent_between(CONTACT_S, CONTACT_S + RUNNING_S)
+    assert sent >= 0.6 * limit_per_s * RUNNING_S
+    assert min(play.retry_after_ms) > 0
+    assert max(play.retry_after_ms) <= request_limit.RETRY_AFTER_MS_MAX
+
+
+def test_callers_of_a_busy_host_get_more_than_an_equal_share():
+    play = make_play(8, 60.0, lambda _: 20.0, even=True)
+    for host in play.hosts[1:]:
+        host.requests_per_s = 1.0
+    play.run(RUNNING_S)
+    busy, *others = play.hosts
+    assert busy.sent > 4 * max(host.sent for host in others)
+
+
+def test_load_below_the_limit_is_hardly_refused():
+    play = make_play(8, 8.0, lambda _: 13.0)
+    play.run(RUNNING_S)
+    refused = sum(host.refused for host in play.hosts)
+    assert refused <= 0.2 * (refused + len(play.sent_s))
+
+
+def test_a_lower_limit_binds_soon():
+    play = make_play(8, 60.0, lambda now_s: 30.0 if now_s < 20 else 5.0)
+    play.run(20 + CONTACT_S + RUNNING_S)
+    assert play.most_in_a_window(
+        20 + CONTACT_S, 20 + CONTACT_S + RUNNING_S
+    ) <= window_max(5.0)
+
+
+@pytest.mark.parametrize("host_count", [1, 8, 80])
+@pytest.mark.parametrize("limit_per_s", [1.4, 13.0])
+def test_all_hosts_end_a_limit_that_is_withdrawn(limit_per_s, host_count):
+    play = make_play(
+        host_count,
+        3 * limit_per_s,
+        lambda now_s: limit_per_s if now_s < 20 else None,
+    )
+    # Until one host asks, and the reports of its answer have arrived.
+    play.run(20 + 2 / limit_per_s + request_limit.OWN_ANSWER_S + 3 * REPORT_S)
+    assert {host.limit.limit_per_s for host in play.hosts} == {None}
+    refused = sum(host.refused for host in play.hosts)
+    play.run(play.now_s + 5)
+    assert sum(host.refused for host in play.hosts) == refused
+
+
+def test_a_host_without_reports_keeps_its_own_limit():
+    limit = request_limit.RequestLimit(tokens=0.5)
+    limit.record_fleet(None, 1.0)
+    limit.record_answer(3.0, 2.0)
+    assert limit.limit_per_s == 3.0
+    assert not limit.has_room(2.0, 8)
+    assert limit.limit_per_s == 3.0
+
+
+def test_a_target_that_takes_nothing_is_asked_now_and_then():
+    limit = request_limit.RequestLimit()
+    limit.record_answer(0.0, 0.0)
+    assert not limit.take(1.0, 1)
+    assert limit.take(1.0 + 1 / request_limit.LIMIT_PER_S_MIN, 1)
--- a/tests/stand_in_target.py
+++ b/tests/stand_in_target.py
@@ -35,6 +35,7 @@
         self.completed = 0
         self.service_ms = options.service_ms
         self.leaving = False
+        self.limit_per_s = None
         self.silent = False
         # Requests beyond the slots wait inside the target.
         self.slot_semaphore = asyncio.Semaphore(options.slots)
@@ -124,6 +125,7 @@
                 "clock_ms": clock_ms(),
                 "order": target.order,
                 "cold": target.cold,
+                "limit_per_s": target.limit_per_s,
             }
         )
 
@@ -141,6 +143,7 @@
         value = json.loads(self.request.body)
         target.service_ms = value.get("service_ms", target.service_ms)
         target.leaving = value.get("leaving", target.leaving)
+        target.limit_per_s = value.get("limit_per_s", target.limit_per_s)
         if value.get("turn_cold"):
             target.completed = 0
         self.write({"running_max": target.running_max})
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import http.client
+import itertools
 import signal
 import socket
 import threading
@@ -337,3 +338,35 @@
     (name,) = [s["fingerprint"] for s in suspects if s["quarantined"]]
     cluster.cli_json("quarantine", "--release", name)
     assert cluster.cli_json("quarantine")["suspects"] == []
+
+
+def test_limit_that_a_target_names_binds_all_hosts_together(cluster):
+    """One pool target names a limit, later a lower one, later none."""
+    cluster.add_target("photo-0", "photos", "zone-a", "--service-ms", "1")
+    cluster.wait_in_service("photos")
+    hosts = itertools.cycle(cluster.entry_hosts)
+
+    def send_for(duration_s):
+        """Return the answers, and the requests that the target ran."""
+        before = len(cluster.runs())
+        end_s = time.monotonic() + duration_s
+        answers = []
+        while time.monotonic() < end_s:
+            url = f"{next(hosts).caller_url}/kisvaros/photos/photos/p1"
+            answers.append(clusters.fetch(url))
+            time.sleep(0.01)
+        return answers, len(cluster.runs()) - before
+
+    for limit_per_s in (10.0, 2.0):
+        cluster.control_target("photo-0", limit_per_s=limit_per_s)
+        time.sleep(1.0)
+        answers, runs = send_for(4.0)
+        assert limit_per_s * 2 <= runs <= 1.5 * limit_per_s * 4.0 + 5
+        assert sum(answer.status == 200 for answer in answers) == runs
+        refused = [answer for answer in answers if answer.status != 200]
+        assert {answer.outcome for answer in refused} == {"not-run"}
+        assert all(float(a.headers["Retry-After"]) > 0 for a in refused)
+    cluster.control_target("photo-0", limit_per_s=None)
+    time.sleep(1.0)
+    answers, _ = send_for(1.0)
+    assert {answer.status for answer in answers} == {200}
--- a/tests/system/test_target_limits.py
+++ b/tests/system/test_target_limits.py
@@ -61,7 +61,7 @@
         answers = []
         while time.monotonic() < end_s:
             request_id = f"load{number:04d}{len(answers):08d}"
-            status, body, headers = fleet.request(
+            status, _, headers = fleet.request(
                 number % ENTRY_HOSTS,
                 "POST",
                 "/photo/1",
