--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -229,6 +230,14 @@
     def drops(self, request_id):
         return self._count_in_logs(f"DROPPED {request_id}")
 
+    def closes(self, request_id):
+        return self._count_in_logs(f"CLOSED {request_id}")
+
+    def resident_bytes(self, name):
+        """Return the memory that a process uses."""
+        pages = pathlib.Path(f"/proc/{self.processes[name].pid}/statm")
+        return int(pages.read_text().split()[1]) * resource.getpagesize()
+
     def _count_in_logs(self, line):
         return sum(log.read_text().count(line) for log in self.logs.values())
 
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -25,6 +25,7 @@
 
 from tornado import httpclient
 from tornado import httpserver
+from tornado import iostream
 from tornado import web
 
 HEARTBEAT_S = 0.2
@@ -181,6 +182,9 @@
         self.target.print_event("run", id=request_id, key=key)
         if "crash" in self.request.path:
             os._exit(1)
+        if "Endless" in headers:
+            await self.write_without_end(headers["Endless"], request_id)
+            return
         await asyncio.sleep(float(headers.get("Work-Seconds", WORK_S)))
         self.set_header("Response-Signature", f"{self.target.name}.sig")
         if self.target.keyed and time.monotonic() >= self.target.until_s:
@@ -193,6 +197,22 @@
             return
         self.write(self.request.body or b"looked up")
 
+    async def write_without_end(self, part, request_id):
+        """Write a part of an answer until the connection is closed."""
+        stream = self.detach()
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\n"
+        starts = {"nothing": "", "head": f"{head}X-Long: ", "body": head}
+        piece = b"x" * 65536
+        try:
+            await stream.write(starts[part].encode())
+            if part == "body":
+                await stream.write(b"Transfer-Encoding: chunked\r\n\r\n")
+                piece = b"10000\r\n" + piece + b"\r\n"
+            while True:
+                await stream.write(piece)
+        except iostream.StreamClosedError:
+            print(f"CLOSED {request_id}", flush=True)
+
     get = post = serve
 
 
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import signal
+import time
 
 import fleet as fleets
 import pytest
@@ -254,6 +255,49 @@
     assert [i for i in fleet.refused_ids if fleet.runs(i)] == []
 
 
+@pytest.mark.parametrize("part", ["nothing", "head", "body"])
+def test_answers_without_end_are_ended_by_the_deadline(fleet, part):
+    memory_growth_bytes_max = 32 * 1024 * 1024
+    before_bytes = fleet.resident_bytes("entry-0")
+    request_ids = [
+        f"endless{part:>7}{n:02d}".replace(" ", "0") for n in range(8)
+    ]
+
+    def send(request_id):
+        """Return the status, None for an answer that is visibly cut."""
+        try:
+            status, _, _ = fleet.request(
+                0,
+                "POST",
+                "/photo/1",
+                body=b"x",
+                timeout_s=5.0,
+                **{"Attempt-Id": request_id, "Endless": part},
+            )
+        except fleets.http.client.IncompleteRead:
+            return None
+        return status
+
+    started_s = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        statuses = dict(
+            zip(request_ids, pool.map(send, request_ids), strict=True)
+        )
+    # The deadline of 2 s, and time to answer.
+    assert time.monotonic() - started_s < 3.0
+    ran = [one for one in request_ids if fleet.runs(one)]
+    assert {statuses[one] for one in ran} <= (
+        {None} if part == "body" else {502, 504}
+    )
+    # After several failures requests are refused without an attempt.
+    assert {statuses[one] for one in set(statuses) - set(ran)} <= {503}
+    assert ran
+    fleet.wait_until(lambda: all(map(fleet.closes, ran)), 2.0)
+    growth_bytes = fleet.resident_bytes("entry-0") - before_bytes
+    assert growth_bytes < memory_growth_bytes_max
+    assert fleet.request(1, "POST", "/photo/1", body=b"x")[0] == 200
+
+
 def test_the_log_line_of_a_request_has_its_id(fleet):
     request_id = "feedbeef00112233"
     fleet.request(0, "GET", "/look/1", key=3, **{"Attempt-Id": request_id})
