--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -7,11 +7,14 @@
 
 import attrs
 
+from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy import wire
 
 # Broken runs per report; a larger number indicates a network failure.
 BROKEN_RUNS_MAX: ty.Final = 50
+# A new leader needs the broken runs of this time to attribute a crash.
+REPEATED_RUNS_S: ty.Final = 8.0
 
 
 @attrs.define
@@ -26,8 +29,16 @@
 class Observations:
     """Count requests per key block and processing time per target."""
 
-    def __init__(self) -> None:
-        """Create an empty accumulator."""
+    def __init__(self, clock: clocks.Clock = clocks.monotonic) -> None:
+        """Create an empty accumulator.
+
+        :param clock: monotonic time in seconds
+        """
+        self._clock = clock
+        # Runs that were reported, with the time of the report.
+        self._reported_runs: collections.deque[
+            tuple[float, wire.ttypes.BrokenRun]
+        ] = collections.deque(maxlen=BROKEN_RUNS_MAX)
         self._blocks: collections.Counter[tuple[str, int]] = (
             collections.Counter()
         )
@@ -123,6 +134,17 @@
         self._broken_runs.extend((request.broken or ())[:free])
         self._cleared.update(request.cleared or ())
 
+    def repeat_runs(self) -> None:
+        """Report recent broken runs again, to another host.
+
+        They are lost with the host that had them.
+        """
+        since_s = self._clock() - REPEATED_RUNS_S
+        self._broken_runs.extend(
+            run for at_s, run in self._reported_runs if at_s >= since_s
+        )
+        self._reported_runs.clear()
+
     def _add_work(
         self, key: tuple[str, int], work_ms: float, answers: int
     ) -> None:
@@ -149,6 +171,8 @@
             for (service, block), requests in self._blocks.items()
         ]
         request.broken = self._broken_runs
+        now_s = self._clock()
+        self._reported_runs.extend((now_s, run) for run in self._broken_runs)
         self._broken_runs = []
         request.limits = [
             wire.ttypes.TargetLimit(
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -29,6 +29,7 @@
         self._replica = replica
         self._feeder = feeder
         self._observations = observations.Observations()
+        self._reported_to: wire.PeerAddress | None = None
         # From the leader's last reply; 0 while unknown.
         self._entry_hosts = 0
         self._map_index = 0
@@ -64,6 +65,9 @@
             await self._report(leader)
 
     async def _report(self, leader: wire.PeerAddress) -> None:
+        if leader != self._reported_to:
+            self._observations.repeat_runs()
+            self._reported_to = leader
         request = wire.ttypes.WatchRequest(
             host=self._replica.host,
             session="",
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -171,6 +171,7 @@
                 self._address.address,
                 self.state.applied_index,
             )
+            self.observations.repeat_runs()
         self._connected = True
 
     def _record_disconnected(self, reason: str) -> None:
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -124,6 +124,30 @@
     assert sent.blocks == []
 
 
+def test_a_new_leader_gets_the_recent_broken_runs(relay, peers):
+    relay.watch(None, watch_request("entry-a"))
+    asyncio.run(run_one_interval(relay))
+    relay._replica.members.members[0].peer = wire.PeerAddress("10.0.0.9", 7000)
+    asyncio.run(run_one_interval(relay))
+    asyncio.run(run_one_interval(relay))
+    fingerprints = [
+        [run.fingerprint for run in sent.broken] for sent in peers.requests
+    ]
+    assert fingerprints == [["poison"], ["poison"], []]
+
+
+def test_old_broken_runs_are_not_repeated():
+    now_s = 1.0
+    observed = observations.Observations(lambda: now_s)
+    observed.record_broken_run("t1", 1, "poison")
+    observed.flush_into(wire.ttypes.WatchRequest())
+    now_s += observations.REPEATED_RUNS_S + 1
+    observed.repeat_runs()
+    report = wire.ttypes.WatchRequest()
+    observed.flush_into(report)
+    assert report.broken == []
+
+
 def test_without_a_leader_the_number_of_hosts_is_unknown(relay, peers):
     asyncio.run(run_one_interval(relay))
     peers.error = errors.WireError("cut")
--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import signal
 import time
 
 import fleet as fleets
@@ -113,3 +114,28 @@
             for number in range(ENTRY_HOSTS)
         )
     )
+
+
+@pytest.mark.parametrize("restart_s", [1.0])
+def test_crashes_count_over_a_change_of_the_leader(fleet):
+    numbers = itertools.count()
+
+    def crashed(count):
+        fleet.send(next(numbers), "GET", "/look/crash", key=9)
+        fleet.restart_crashed_targets()
+        return len(fleet.crashed_s) >= count
+
+    fleet.wait_until(lambda: crashed(2))
+    leader = next(
+        name
+        for name, log in fleet.logs.items()
+        if "became leader" in log.read_text()
+    )
+    fleet.signal(leader, signal.SIGKILL)
+    fleet.wait_until(lambda: crashed(3))
+    while time.monotonic() < fleet.crashed_s[2] + CONTACT_S:
+        crashed(3)
+    crashed_by_then = len(fleet.crashed_s)
+    for number in range(ENTRY_HOSTS):
+        assert fleet.is_quarantined(number, "GET", "/look/crash", key=9)
+    assert len(fleet.crashed_s) == crashed_by_then
