--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
 import random
@@ -14,6 +13,7 @@
 from goldcrestproxy.entries import replay
 from goldcrestproxy.entries import running_requests
 from goldcrestproxy.entries import sending
+from goldcrestproxy.entries import suspects
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import fleet_retries
@@ -70,6 +70,7 @@
         self._zone = zone
         self._clock = clock
         self._rng = rng
+        self._suspects = suspects.Suspects(fleet, clock)
         self._running = running_requests.RunningRequests()
         self._latest_deadline_s = math.inf
 
@@ -153,38 +154,11 @@
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer:
         """Send a request unless it is quarantined."""
-        await self._refuse_quarantined(state)
+        await self._suspects.refuse_quarantined(state)
         answer = await self._send_with_retries(state)
-        if self._fleet.has_suspects:
-            self._fleet.clear_suspicion(state.fingerprint)
+        self._suspects.record_answer(state, answer)
         return answer
 
-    async def _refuse_quarantined(
-        self, state: dispatch_state.DispatchState
-    ) -> None:
-        """Refuse a request that crashed targets, once its body is read.
-
-        :raises RefusedError: for a quarantined request, or when its body
-            does not arrive within the deadline
-        """
-        quarantined = self._fleet.quarantined
-        if not quarantined:
-            return
-        try:
-            async with asyncio.timeout(state.deadline_s - self._clock()):
-                await state.body.read_ahead()
-        except TimeoutError:
-            raise results.refusal(
-                results.DEADLINE_NOT_RUN,
-                "the body did not arrive within the deadline",
-            ) from None
-        if state.fingerprint in quarantined:
-            raise results.refusal(
-                results.QUARANTINED,
-                f"requests like this one ({state.fingerprint}) crashed "
-                "targets",
-            )
-
     async def _send_with_retries(
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer:
--- /dev/null
+++ b/src/goldcrestproxy/entries/suspects.py
@@ -0,0 +1,64 @@
+"""Requests that are suspected of ending targets, at one entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as ty
+
+from goldcrestproxy.entries import dispatch_state
+from goldcrestproxy.entries import fleet_map
+from goldcrestproxy.entries import fleet_request
+from goldcrestproxy import results
+
+# A target that reports a failure may have been the second one that ran the
+# request; the first may have crashed.
+FAILURE_STATUS_MIN: ty.Final = 500
+
+
+class Suspects:
+    """Refuses quarantined requests and reports those that are answered."""
+
+    def __init__(
+        self, fleet: fleet_map.FleetMap, clock: ty.Callable[[], float]
+    ) -> None:
+        """Read crashes and quarantine from the replicated state.
+
+        :param clock: monotonic time in seconds
+        """
+        self._fleet = fleet
+        self._clock = clock
+
+    async def refuse_quarantined(
+        self, state: dispatch_state.DispatchState
+    ) -> None:
+        """Refuse a request that crashed targets, once its body is read.
+
+        :raises RefusedError: for a quarantined request, or when its body
+            does not arrive within the deadline
+        """
+        quarantined = self._fleet.quarantined
+        if not quarantined:
+            return
+        try:
+            async with asyncio.timeout(state.deadline_s - self._clock()):
+                await state.body.read_ahead()
+        except TimeoutError:
+            raise results.refusal(
+                results.DEADLINE_NOT_RUN,
+                "the body did not arrive within the deadline",
+            ) from None
+        if state.fingerprint in quarantined:
+            raise results.refusal(
+                results.QUARANTINED,
+                f"requests like this one ({state.fingerprint}) crashed "
+                "targets",
+            )
+
+    def record_answer(
+        self,
+        state: dispatch_state.DispatchState,
+        answer: fleet_request.FleetAnswer,
+    ) -> None:
+        """Report that a suspected request has not ended its target."""
+        if self._fleet.has_suspects and answer.status < FAILURE_STATUS_MIN:
+            self._fleet.clear_suspicion(state.fingerprint)
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -388,6 +388,17 @@
     assert fleet.cleared == fleet.suspected
 
 
+def test_failure_before_a_crash_does_not_clear_a_suspect():
+    fleet = FakeFleet(SAFE)
+    fleet.suspected.add(REQUEST.fingerprint(""))
+    outcomes = [
+        failed(fleet_retries.Failed(status=500), FAILURE),
+        failed(fleet_retries.MaybeRun(text="cut")),
+    ]
+    assert dispatch(fleet, FakeSender(fleet, outcomes)) is FAILURE
+    assert not fleet.cleared
+
+
 def test_fingerprint_is_the_same_from_any_address_and_in_any_framing():
     again = attrs.evolve(
         REQUEST,
