--- a/src/goldcrestproxy/control/limit_reports.py
+++ b/src/goldcrestproxy/control/limit_reports.py
@@ -37,6 +37,8 @@
 
     def reply(self) -> list[wire.ttypes.TargetLimit]:
         """Return the limits of the registered targets for entry hosts."""
+        if self._limits.empty:
+            return []
         self._limits.retain(
             {
                 (target.target, target.incarnation)
--- a/src/goldcrestproxy/routing/request_limit.py
+++ b/src/goldcrestproxy/routing/request_limit.py
@@ -177,6 +177,11 @@
         )
         offered.add(requests, now_s)
 
+    @property
+    def empty(self) -> bool:
+        """Whether no target names a limit."""
+        return not self._limits_per_s
+
     def limit_per_s(self, target: str, incarnation: int) -> float | None:
         """Return the limit of a target, None without one."""
         return self._limits_per_s.get((target, incarnation))
