--- a/src/goldcrestproxy/control/quarantine.py
+++ b/src/goldcrestproxy/control/quarantine.py
@@ -25,15 +25,15 @@
         record = self.crashes.get(fingerprint)
         return record is not None and record.quarantined
 
-    def quarantined_since(self, since_s: float) -> set[str]:
-        """Return the quarantined that have crashed a target since a time.
+    def last_crashes_s(self) -> dict[str, float]:
+        """Return when each quarantined fingerprint last crashed a target.
 
-        :param since_s: seconds since the epoch
+        :return: seconds since the epoch, by fingerprint
         """
         return {
-            fingerprint
+            fingerprint: record.time_s
             for fingerprint, record in self.crashes.items()
-            if record.quarantined and record.time_s >= since_s
+            if record.quarantined
         }
 
     def apply(
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -85,7 +85,10 @@
         self._rng = rng
         self._revision = -1
         self._items_revision = -1
+        # By fingerprint. Suspects are many and read with each request.
+        self._last_crashes_s: dict[str, float] = {}
         watcher.add_listener(self._refresh)
+        watcher.add_listener(self._refresh_quarantine)
         watcher.add_limit_listener(self._apply_limits)
 
     @property
@@ -176,8 +179,14 @@
     @property
     def quarantined(self) -> set[str]:
         """Fingerprints of requests that recently crashed targets."""
-        quarantine = self._watcher.state.quarantine
-        return quarantine.quarantined_since(clocks.wall_s() - QUARANTINE_S)
+        if not self._last_crashes_s:
+            return set()
+        since_s = clocks.wall_s() - QUARANTINE_S
+        return {
+            fingerprint
+            for fingerprint, at_s in self._last_crashes_s.items()
+            if at_s >= since_s
+        }
 
     @property
     def has_suspects(self) -> bool:
@@ -208,6 +217,9 @@
             if limit is not None or tracked.limit.limit_per_s is not None:
                 tracked.limit.record_fleet(limit, now_s)
 
+    def _refresh_quarantine(self) -> None:
+        self._last_crashes_s = self._watcher.state.quarantine.last_crashes_s()
+
     def _refresh(self) -> None:
         state = self.registry
         if state.revision == self._revision:
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -8,6 +8,7 @@
 import pytest
 
 from goldcrestproxy import control
+from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import state_watcher
 from goldcrestproxy import registry
@@ -147,3 +148,24 @@
     clock.now_s += 1.0
     watcher.name_limits([])
     assert fleet.targets["a"].limit.limit_per_s is None
+
+
+def test_only_recently_quarantined_requests_are_refused(fleet, watcher):
+    def report(fingerprint, time_s, crashes_needed):
+        watcher.apply(
+            control.ReportCrash(
+                target="a",
+                incarnation="1",
+                fingerprints=(fingerprint,),
+                time_s=time_s,
+                crashes_needed=crashes_needed,
+            )
+        )
+
+    now_s = clocks.wall_s()
+    report("poison", now_s, 1)
+    report("suspect", now_s, 2)
+    report("old", now_s - fleet_map.QUARANTINE_S - 1, 1)
+    assert fleet.quarantined == {"poison"}
+    watcher.apply(control.ReleaseQuarantine(fingerprint="poison"))
+    assert fleet.quarantined == set()
