--- a/tests/routing/test_request_limit.py
+++ b/tests/routing/test_request_limit.py
@@ -40,7 +40,7 @@
 
 
 @attrs.define
-class Play:
+class Simulation:
     """A load on one target, whose limit ``limit_at`` returns by time."""
 
     hosts: list
@@ -121,11 +121,13 @@
         return max(counts, default=0)
 
 
-def make_play(host_count, requests_per_s, limit_at, *, seed=1, even=False):
-    """Return a play whose hosts get uneven parts of the requests."""
+def make_simulation(
+    host_count, requests_per_s, limit_at, *, seed=1, even=False
+):
+    """Return a simulation whose hosts get uneven parts of the requests."""
     rng = random.Random(seed)
     parts = [1.0 if even else 0.2 + rng.random() for _ in range(host_count)]
-    return Play(
+    return Simulation(
         hosts=[
             Host(
                 limit=request_limit.RequestLimit(tokens=rng.random()),
@@ -149,12 +151,12 @@
 def test_all_hosts_together_keep_to_a_limit(
     limit_per_s, host_count, connected, seed
 ):
-    play = make_play(
+    simulation = make_simulation(
         host_count, 4 * limit_per_s, lambda _: limit_per_s, seed=seed
     )
-    play.connected = connected
-    play.run(CONTACT_S + RUNNING_S)
-    assert play.most_in_a_window(
+    simulation.connected = connected
+    simulation.run(CONTACT_S + RUNNING_S)
+    assert simulation.most_in_a_window(
         CONTACT_S, CONTACT_S + RUNNING_S
     ) <= window_max(limit_per_s)
 
@@ -162,34 +164,38 @@
 @pytest.mark.parametrize("host_count", [1, 8, 80])
 @pytest.mark.parametrize("limit_per_s", [1.4, 13.0, 60.0])
 def test_callers_get_most_of_what_a_target_takes(limit_per_s, host_count):
-    play = make_play(host_count, 3 * limit_per_s, lambda _: limit_per_s)
-    play.run(CONTACT_S + RUNNING_S)
-    sent = play.sent_between(CONTACT_S, CONTACT_S + RUNNING_S)
+    simulation = make_simulation(
+        host_count, 3 * limit_per_s, lambda _: limit_per_s
+    )
+    simulation.run(CONTACT_S + RUNNING_S)
+    sent = simulation.sent_between(CONTACT_S, CONTACT_S + RUNNING_S)
     assert sent >= 0.6 * limit_per_s * RUNNING_S
-    assert min(play.retry_after_ms) > 0
-    assert max(play.retry_after_ms) <= request_limit.RETRY_AFTER_MS_MAX
+    assert min(simulation.retry_after_ms) > 0
+    assert max(simulation.retry_after_ms) <= request_limit.RETRY_AFTER_MS_MAX
 
 
 def test_callers_of_a_busy_host_get_more_than_an_equal_share():
-    play = make_play(8, 60.0, lambda _: 20.0, even=True)
-    for host in play.hosts[1:]:
+    simulation = make_simulation(8, 60.0, lambda _: 20.0, even=True)
+    for host in simulation.hosts[1:]:
         host.requests_per_s = 1.0
-    play.run(RUNNING_S)
-    busy, *others = play.hosts
+    simulation.run(RUNNING_S)
+    busy, *others = simulation.hosts
     assert busy.sent > 4 * max(host.sent for host in others)
 
 
 def test_load_below_the_limit_is_hardly_refused():
-    play = make_play(8, 8.0, lambda _: 13.0)
-    play.run(RUNNING_S)
-    refused = sum(host.refused for host in play.hosts)
-    assert refused <= 0.2 * (refused + len(play.sent_s))
+    simulation = make_simulation(8, 8.0, lambda _: 13.0)
+    simulation.run(RUNNING_S)
+    refused = sum(host.refused for host in simulation.hosts)
+    assert refused <= 0.2 * (refused + len(simulation.sent_s))
 
 
 def test_a_lower_limit_binds_soon():
-    play = make_play(8, 60.0, lambda now_s: 30.0 if now_s < 20 else 5.0)
-    play.run(20 + CONTACT_S + RUNNING_S)
-    assert play.most_in_a_window(
+    simulation = make_simulation(
+        8, 60.0, lambda now_s: 30.0 if now_s < 20 else 5.0
+    )
+    simulation.run(20 + CONTACT_S + RUNNING_S)
+    assert simulation.most_in_a_window(
         20 + CONTACT_S, 20 + CONTACT_S + RUNNING_S
     ) <= window_max(5.0)
 
@@ -197,17 +203,19 @@
 @pytest.mark.parametrize("host_count", [1, 8, 80])
 @pytest.mark.parametrize("limit_per_s", [1.4, 13.0])
 def test_all_hosts_end_a_limit_that_is_withdrawn(limit_per_s, host_count):
-    play = make_play(
+    simulation = make_simulation(
         host_count,
         3 * limit_per_s,
         lambda now_s: limit_per_s if now_s < 20 else None,
     )
     # Until one host asks, and the reports of its answer have arrived.
-    play.run(20 + 2 / limit_per_s + request_limit.OWN_ANSWER_S + 3 * REPORT_S)
-    assert {host.limit.limit_per_s for host in play.hosts} == {None}
-    refused = sum(host.refused for host in play.hosts)
-    play.run(play.now_s + 5)
-    assert sum(host.refused for host in play.hosts) == refused
+    simulation.run(
+        20 + 2 / limit_per_s + request_limit.OWN_ANSWER_S + 3 * REPORT_S
+    )
+    assert {host.limit.limit_per_s for host in simulation.hosts} == {None}
+    refused = sum(host.refused for host in simulation.hosts)
+    simulation.run(simulation.now_s + 5)
+    assert sum(host.refused for host in simulation.hosts) == refused
 
 
 def test_a_host_without_reports_keeps_its_own_limit():
