--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -76,7 +76,8 @@
             new_fleet.add_desk(f"127.0.0.1:{port}")
         new_fleet.wait_until(
             lambda: all(
-                new_fleet.send(number, "GET", "/look/1", key=9)[0] == 200
+                new_fleet.is_ready(number)
+                and new_fleet.send(number, "GET", "/look/1", key=9)[0] == 200
                 for number in range(ENTRY_HOSTS)
             )
         )
