--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -154,6 +154,8 @@
                 return
             # The state may have changed while the request was queued.
             owned = self._usable_slot(request)
+            if self._link.state.quarantine.is_quarantined(fingerprint):
+                raise refusals.quarantined(fingerprint)
             self.in_flight.enter(request.key_hash)
             try:
                 await self._send(exchange, fingerprint, owned, deadline_s)
@@ -342,7 +344,7 @@
         def may_send() -> bool:
             now_s = self._clock()
             if now_s >= deadline_s or not self._link.has_lease:
-                return False
+                return
             return owned is None or self.agent.is_usable(owned)
 
         has_body = request.body_bytes != 0
--- a/src/goldcrestproxy/entries/coordinator.py
+++ b/src/goldcrestproxy/entries/coordinator.py
@@ -12,6 +12,7 @@
 from goldcrestproxy.entries import control_link
 from goldcrestproxy.entries import coordinated_target
 from goldcrestproxy.entries import fingerprints
+from goldcrestproxy.entries import refusals
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import concurrency
@@ -144,14 +145,10 @@
                 f"{request.target} is not coordinated by {self._host}",
             )
         fingerprint = fingerprints.of_relayed(request)
-        quarantine = self._link.state.quarantine
-        if quarantine.is_quarantined(fingerprint):
-            raise results.refusal(
-                results.QUARANTINED,
-                f"requests like this one ({fingerprint}) crashed targets",
-            )
+        if self._link.state.quarantine.is_quarantined(fingerprint):
+            raise refusals.quarantined(fingerprint)
         await coordinated.serve(exchange, fingerprint, deadline_s)
-        if fingerprint in quarantine.crashes:
+        if fingerprint in self._link.state.quarantine.crashes:
             # The request succeeded, so it did not cause the crashes.
             self._spawn(
                 self._propose(
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -136,8 +136,10 @@
         outcome, code = "cancelled", "cancelled"
         try:
             answer = await self._running.run(
-                self._run(state), lambda: self._answer_at_stop(state)
+                self._send_with_retries(state),
+                lambda: self._answer_at_stop(state),
             )
+            self._suspects.record_answer(state, answer)
             outcome = f"answered {answer.status}"
             code = str(results.ANSWERED)
             return answer
@@ -150,20 +152,12 @@
             self._metrics.requests.add(1, {"code": code})
             self._metrics.duration.record((self._clock() - started_s) * 1000)
 
-    async def _run(
-        self, state: dispatch_state.DispatchState
-    ) -> fleet_request.FleetAnswer:
-        """Send a request unless it is quarantined."""
-        await self._suspects.refuse_quarantined(state)
-        answer = await self._send_with_retries(state)
-        self._suspects.record_answer(state, answer)
-        return answer
-
     async def _send_with_retries(
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer:
         while True:
             try:
+                await self._refuse_quarantined(state)
                 target = await self._choose_target(state)
             except errors.RefusedError:
                 if state.answer is not None:
@@ -263,6 +257,20 @@
             self._clock(), self._fleet.entry_hosts
         )
 
+    async def _refuse_quarantined(
+        self, state: dispatch_state.DispatchState
+    ) -> None:
+        """Refuse a quarantined request before another attempt.
+
+        :raises RefusedError: as not run, unless an attempt may have run
+        """
+        try:
+            await self._suspects.refuse_quarantined(state)
+        except errors.RefusedError as error:
+            if state.may_have_run:
+                raise self._final_refusal(state) from error
+            raise
+
     async def _choose_target(
         self, state: dispatch_state.DispatchState
     ) -> fleet_map.TrackedTarget:
@@ -271,6 +279,8 @@
             target = await self._choose_owner(state)
         else:
             target = self._choose_from_pool(state)
+        # It may have been quarantined while it waited for the owner.
+        await self._refuse_quarantined(state)
         self._refuse_if_too_late(state, target)
         self._refuse_beyond_limit(state, target)
         if (
--- a/src/goldcrestproxy/entries/refusals.py
+++ b/src/goldcrestproxy/entries/refusals.py
@@ -15,6 +15,14 @@
 SHED_RETRY_AFTER_MS: ty.Final = 100
 
 
+def quarantined(fingerprint: str) -> errors.RefusedError:
+    """Return the refusal of a request that crashed targets."""
+    return results.refusal(
+        results.QUARANTINED,
+        f"requests like this one ({fingerprint}) crashed targets",
+    )
+
+
 def refusal_of(
     error: targets.TransferError, target: str, *, answering: bool = False
 ) -> errors.RefusedError:
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -350,10 +350,7 @@
             plan.body_digest,
         )
         if quarantine.is_quarantined(fingerprint):
-            raise results.refusal(
-                results.QUARANTINED,
-                f"requests like this one ({fingerprint}) crashed targets",
-            )
+            raise refusals.quarantined(fingerprint)
 
     def _retry_tokens(
         self, classified: classification.ClassifiedRequest
--- a/src/goldcrestproxy/entries/suspects.py
+++ b/src/goldcrestproxy/entries/suspects.py
@@ -8,6 +8,7 @@
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import fleet_request
+from goldcrestproxy.entries import refusals
 from goldcrestproxy import results
 
 # A target that reports a failure may have been the second one that ran the
@@ -48,11 +49,7 @@
                 "the body did not arrive within the deadline",
             ) from None
         if state.fingerprint in quarantined:
-            raise results.refusal(
-                results.QUARANTINED,
-                f"requests like this one ({state.fingerprint}) crashed "
-                "targets",
-            )
+            raise refusals.quarantined(state.fingerprint)
 
     def record_answer(
         self,
--- /dev/null
+++ b/tests/entries/test_coordinated_target.py
@@ -0,0 +1,115 @@
+"""Requests that wait at the coordinator of a target."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import types
+
+import pytest
+import raw_server
+
+from goldcrestproxy import control
+from goldcrestproxy.control import commands
+from goldcrestproxy.entries import coordinated_target
+from goldcrestproxy import errors
+from goldcrestproxy import results
+from goldcrestproxy.routing import admission
+from goldcrestproxy.routing import concurrency
+from goldcrestproxy import wire
+
+FINGERPRINT = "poison"
+
+
+def pool_state():
+    state = control.ControlState()
+    state.apply(
+        1,
+        commands.AnnounceTarget(
+            target="t0",
+            incarnation="i1",
+            zone="z",
+            desk="desk",
+            address="127.0.0.1:1",
+            slots=1,
+            supports=commands.Supports(),
+        ),
+    )
+    return state
+
+
+def relay_request():
+    return wire.ttypes.RelayRequest(
+        request_id="r1",
+        customer="c",
+        desk="desk",
+        method="GET",
+        path="/x",
+        headers=[],
+        target="t0",
+        key_hash=0,
+        deadline_ms=5_000,
+        idempotent=True,
+        body_bytes=0,
+        trace_parent="",
+        operation="op",
+        body_digest="",
+    )
+
+
+async def serve_queued(while_queued):
+    """Serve a request that first waits for the only slot.
+
+    :param while_queued: called with the state and the exchange meanwhile
+    """
+    server = raw_server.RawServer(None)
+    async with server.running() as address:
+        state = pool_state()
+        state.targets["t0"].address = address
+        link = types.SimpleNamespace(state=state, has_lease=True)
+        target = coordinated_target.CoordinatedTarget(
+            state.targets["t0"],
+            link,
+            None,
+            concurrency.ConcurrencyLimit(slots=1, cold_concurrency=1),
+            10,
+            time.monotonic,
+            "h",
+        )
+        await target.admission.acquire(
+            admission.AdmissionRequest(
+                customer="c",
+                operation="op",
+                deadline_s=time.monotonic() + 5,
+            )
+        )
+        exchange = wire.Exchange(relay_request())
+        serving = asyncio.create_task(
+            target.serve(exchange, FINGERPRINT, time.monotonic() + 5)
+        )
+        await asyncio.sleep(0.05)
+        assert not serving.done()
+        while_queued(state, exchange)
+        target.admission.release()
+        try:
+            return await serving
+        finally:
+            assert server.connections == 0
+
+
+def test_quarantine_that_arrives_while_a_request_is_queued_binds_it():
+    def quarantine(state, _):
+        state.apply(
+            2,
+            commands.ReportCrash(
+                target="t1",
+                incarnation="i1",
+                fingerprints=(FINGERPRINT,),
+                time_s=0.0,
+                crashes_needed=1,
+            ),
+        )
+
+    with pytest.raises(errors.RefusedError) as refused:
+        asyncio.run(serve_queued(quarantine))
+    assert refused.value.code == results.QUARANTINED
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -97,6 +97,7 @@
         self.targets = {"t1": self.target}
         self.cold = False
         self.misdirected = False
+        self.on_wait = lambda: None
         self.observations = observations.Observations()
         self.quarantined = set()
         self.suspected = set()
@@ -126,6 +127,7 @@
 
     async def wait_change(self, _timeout_s):
         await asyncio.sleep(0)
+        self.on_wait()
         self.misdirected = False
 
 
@@ -139,6 +141,7 @@
     sent: int = 0
     deadlines_s: list = attrs.field(factory=list)
     targets: list = attrs.field(factory=list)
+    on_send: object = lambda: None
 
     async def send(self, _request, _body, target, *, on_sent, **options):
         self.deadlines_s.append(options["deadline_s"])
@@ -148,6 +151,7 @@
             await asyncio.Event().wait()
         on_sent(0.0)
         self.sent += 1
+        self.on_send()
         if outcome is SILENCE:
             await asyncio.Event().wait()
         if self.pause_after:
@@ -328,6 +332,43 @@
     assert sender.targets == ["t2"]
 
 
+def test_quarantine_that_arrives_while_a_request_waits_binds_it():
+    fleet = FakeFleet(SAFE)
+    fleet.misdirected = True
+    sender = FakeSender(fleet, [ANSWER])
+
+    def quarantine():
+        fleet.quarantined.add(REQUEST.fingerprint(""))
+
+    fleet.on_wait = quarantine
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, sender)
+    assert refused.value.code == results.QUARANTINED
+    assert sender.sent == 0
+
+
+def test_quarantine_before_a_retry_does_not_hide_that_the_first_may_have_run():
+    fleet = FakeFleet(SAFE)
+    sender = FakeSender(
+        fleet, [failed(fleet_retries.MaybeRun(text="cut")), ANSWER]
+    )
+    sender.on_send = lambda: fleet.quarantined.add(REQUEST.fingerprint(""))
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, sender)
+    assert refused.value.code == results.OUTCOME_UNKNOWN
+    assert sender.sent == 1
+
+
+def test_quarantined_request_does_not_wait_for_an_owner():
+    fleet = FakeFleet(SAFE)
+    fleet.misdirected = True
+    fleet.quarantined.add(REQUEST.fingerprint(""))
+    fleet.on_wait = lambda: pytest.fail("waited")
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, FakeSender(fleet, []))
+    assert refused.value.code == results.QUARANTINED
+
+
 def body_of(chunks):
     pipe = wire.Pipe()
     for chunk in chunks:
