--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -134,10 +134,11 @@
 
     async def serve(
         self, exchange: wire.Exchange, fingerprint: str, deadline_s: float
-    ) -> None:
+    ) -> bool:
         """Run a request and send the answer on ``exchange``.
 
         :param deadline_s: monotonic time
+        :return: whether the target answered, False for a cancelled request
         :raises RefusedError: when the target did not run it, or when it is
             unknown whether it did
         """
@@ -151,7 +152,7 @@
         await self.admission.acquire(work)
         try:
             if exchange.cancelled:
-                return
+                return False
             # The state may have changed while the request was queued.
             owned = self._usable_slot(request)
             if self._link.state.quarantine.is_quarantined(fingerprint):
@@ -159,6 +160,7 @@
             self.in_flight.enter(request.key_hash)
             try:
                 await self._send(exchange, fingerprint, owned, deadline_s)
+                return True
             finally:
                 self.in_flight.leave(request.key_hash)
                 self._wake_agent_if_moving(owned)
@@ -344,7 +346,7 @@
         def may_send() -> bool:
             now_s = self._clock()
             if now_s >= deadline_s or not self._link.has_lease:
-                return
+                return False
             return owned is None or self.agent.is_usable(owned)
 
         has_body = request.body_bytes != 0
--- a/src/goldcrestproxy/entries/coordinator.py
+++ b/src/goldcrestproxy/entries/coordinator.py
@@ -147,9 +147,9 @@
         fingerprint = fingerprints.of_relayed(request)
         if self._link.state.quarantine.is_quarantined(fingerprint):
             raise refusals.quarantined(fingerprint)
-        await coordinated.serve(exchange, fingerprint, deadline_s)
-        if fingerprint in self._link.state.quarantine.crashes:
-            # The request succeeded, so it did not cause the crashes.
+        answered = await coordinated.serve(exchange, fingerprint, deadline_s)
+        if answered and fingerprint in self._link.state.quarantine.crashes:
+            # The request was answered, so it did not cause the crashes.
             self._spawn(
                 self._propose(
                     control.ReleaseQuarantine(fingerprint=fingerprint)
--- a/tests/entries/test_coordinated_target.py
+++ b/tests/entries/test_coordinated_target.py
@@ -61,6 +61,7 @@
     """Serve a request that first waits for the only slot.
 
     :param while_queued: called with the state and the exchange meanwhile
+    :return: whether the target answered
     """
     server = raw_server.RawServer(None)
     async with server.running() as address:
@@ -113,3 +114,10 @@
     with pytest.raises(errors.RefusedError) as refused:
         asyncio.run(serve_queued(quarantine))
     assert refused.value.code == results.QUARANTINED
+
+
+def test_cancelled_request_does_not_count_as_answered():
+    def cancel(_, exchange):
+        exchange.cancel()
+
+    assert asyncio.run(serve_queued(cancel)) is False
