--- a/src/goldcrestproxy/control/key_planner.py
+++ b/src/goldcrestproxy/control/key_planner.py
@@ -20,7 +20,7 @@
 from goldcrestproxy.routing import demand
 from goldcrestproxy.routing import key_placement
 from goldcrestproxy.routing import load_split
-from goldcrestproxy.routing import request_limit
+from goldcrestproxy.routing import request_limits
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -195,8 +195,8 @@
         if limit_per_s is None:
             return math.inf
         return (
-            max(request_limit.LIMIT_PER_S_MIN, limit_per_s)
-            * request_limit.USED_SHARE
+            max(request_limits.LIMIT_PER_S_MIN, limit_per_s)
+            * request_limits.USED_SHARE
         )
 
     def _eligible_targets(
--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -18,7 +18,7 @@
 from goldcrestproxy.routing import admission
 from goldcrestproxy.routing import concurrency
 from goldcrestproxy.routing import rates
-from goldcrestproxy.routing import request_limit
+from goldcrestproxy.routing import request_limits
 from goldcrestproxy import targets
 from goldcrestproxy import wire
 
@@ -64,9 +64,9 @@
         self.limit = limit
         self.handing_over = False
         self.in_flight = in_flight.InFlight()
-        request_rate = request_limit.RequestLimit()
+        request_limit = request_limits.RequestLimit()
         self.admission = admission.Admission(
-            limit, queue_requests_max, clock, request_rate
+            limit, queue_requests_max, clock, request_limit
         )
         self.slot_rates = rates.RateMeter()
         self.hot_keys = rates.HotKeySketch()
@@ -85,7 +85,7 @@
             self._in_flight_of,
             self.report_crash,
             host,
-            request_rate,
+            request_limit,
         )
         self._agent_task: asyncio.Task[None] | None = None
 
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -298,7 +298,7 @@
                 f"target {target.name} is cold",
                 SHED_RETRY_AFTER_MS,
             )
-        target.limit.take(self._clock(), self._fleet.entry_hosts)
+        target.request_limit.take(self._clock(), self._fleet.entry_hosts)
         return target
 
     def _refuse_beyond_limit(
@@ -310,7 +310,7 @@
 
         :raises RefusedError: when this host's part of the limit is used up
         """
-        limit, now_s = target.limit, self._clock()
+        limit, now_s = target.request_limit, self._clock()
         hosts = self._fleet.entry_hosts
         if limit.limit_per_s is not None:
             limit.count_offered(now_s)
@@ -434,7 +434,7 @@
     ) -> list[fleet_map.TrackedTarget]:
         """Return the targets whose limits allow another request."""
         now_s, hosts = self._clock(), self._fleet.entry_hosts
-        return [t for t in targets if t.limit.has_room(now_s, hosts)]
+        return [t for t in targets if t.request_limit.has_room(now_s, hosts)]
 
     def _not_run_refusal(
         self,
--- a/src/goldcrestproxy/entries/fingerprints.py
+++ b/src/goldcrestproxy/entries/fingerprints.py
@@ -27,15 +27,15 @@
 
 
 def of_parts(
-    owner: str, scope: str, method: str, path: str, digest: str
+    customer: str, scope: str, method: str, path: str, digest: str
 ) -> str:
     """Return the fingerprint of a request as hexadecimal digits.
 
-    :param owner: the customer, or the key whose owner runs the request
+    :param customer: the customer, or the key of a request to a fleet
     :param scope: the desk, or the host name in the request
     :param digest: the digest of the body
     """
-    text = "\0".join((owner, scope, method, path, digest))
+    text = "\0".join((customer, scope, method, path, digest))
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -12,7 +12,7 @@
 from goldcrestproxy.entries import state_watcher
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
-from goldcrestproxy.routing import request_limit
+from goldcrestproxy.routing import request_limits
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy import wire
@@ -48,8 +48,8 @@
     cold_until_s: float = 0.0
     rate: cold_rate.ColdRateLimiter
     # The limit that the target names in its answers.
-    limit: request_limit.RequestLimit = attrs.field(
-        factory=request_limit.RequestLimit
+    request_limit: request_limits.RequestLimit = attrs.field(
+        factory=request_limits.RequestLimit
     )
 
     @property
@@ -206,7 +206,7 @@
         """Store the limits that all hosts together know."""
         now_s = self._clock()
         by_target = {
-            (limit.target, limit.incarnation): request_limit.FleetLimit(
+            (limit.target, limit.incarnation): request_limits.FleetLimit(
                 limit_per_s=limit.limit_per_s,
                 offered_per_s=limit.offered_per_s,
             )
@@ -214,8 +214,11 @@
         }
         for tracked in self.targets.values():
             limit = by_target.get((tracked.name, tracked.record.incarnation))
-            if limit is not None or tracked.limit.limit_per_s is not None:
-                tracked.limit.record_fleet(limit, now_s)
+            if (
+                limit is not None
+                or tracked.request_limit.limit_per_s is not None
+            ):
+                tracked.request_limit.record_fleet(limit, now_s)
 
     def _refresh_quarantine(self) -> None:
         self._last_crashes_s = self._watcher.state.quarantine.last_crashes_s()
@@ -257,7 +260,9 @@
                 rate=cold_rate.ColdRateLimiter(
                     tokens=self._rng.random(), refilled_s=now_s
                 ),
-                limit=request_limit.RequestLimit(tokens=self._rng.random()),
+                request_limit=request_limits.RequestLimit(
+                    tokens=self._rng.random()
+                ),
             )
         tracked.record = record
         if record.cold_index != tracked.cold_index:
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -206,20 +206,20 @@
         now_s: float,
     ) -> None:
         """Apply the limit that the latest answer of a target named."""
-        previous_per_s = target.limit.limit_per_s
-        target.limit.record_answer(limit_per_s, now_s)
+        previous_per_s = target.request_limit.limit_per_s
+        target.request_limit.record_answer(limit_per_s, now_s)
         if limit_per_s is not None or previous_per_s is not None:
             self._observations.record_limit(
                 target.name, target.record.incarnation, limit_per_s
             )
-        if target.limit.limit_per_s != previous_per_s:
+        if target.request_limit.limit_per_s != previous_per_s:
             telemetry.log_event(
                 LOG,
                 "entries: limit of a target changed",
                 target=target.name,
                 incarnation=target.record.incarnation,
                 previous_per_s=previous_per_s,
-                limit_per_s=target.limit.limit_per_s,
+                limit_per_s=target.request_limit.limit_per_s,
             )
 
     async def _read_start(
--- a/src/goldcrestproxy/routing/admission.py
+++ b/src/goldcrestproxy/routing/admission.py
@@ -17,7 +17,7 @@
 
 from goldcrestproxy import results
 from goldcrestproxy.routing import concurrency
-from goldcrestproxy.routing import request_limit
+from goldcrestproxy.routing import request_limits
 
 RETRY_AFTER_MS_MIN: ty.Final = 50
 RETRY_AFTER_MS_MAX: ty.Final = 5_000
@@ -49,16 +49,16 @@
         limit: concurrency.ConcurrencyLimit,
         queue_requests_max: int,
         clock: ty.Callable[[], float],
-        request_rate: request_limit.RequestLimit | None = None,
+        request_limit: request_limits.RequestLimit | None = None,
     ) -> None:
         """Create an idle queue.
 
         :param limit: requests that may run concurrently
         :param queue_requests_max: requests that may wait
         :param clock: returns monotonic time in seconds
-        :param request_rate: requests per second that the target takes
+        :param request_limit: requests per second that the target takes
         """
-        self._request_rate = request_rate or request_limit.RequestLimit()
+        self._request_limit = request_limit or request_limits.RequestLimit()
         self.limit = limit
         self.running = 0
         self._queue_requests_max = queue_requests_max
@@ -130,20 +130,20 @@
 
     def _refuse_beyond_rate(self) -> None:
         now_s = self._clock()
-        if self._request_rate.has_room(now_s, SENDING_HOSTS):
+        if self._request_limit.has_room(now_s, SENDING_HOSTS):
             return
         raise results.refusal(
             results.OVERLOADED,
-            f"the target takes {self._request_rate.limit_per_s} requests a "
+            f"the target takes {self._request_limit.limit_per_s} requests a "
             "second",
             max(
                 RETRY_AFTER_MS_MIN,
-                self._request_rate.retry_after_ms(now_s, SENDING_HOSTS),
+                self._request_limit.retry_after_ms(now_s, SENDING_HOSTS),
             ),
         )
 
     def _count_request(self) -> None:
-        self._request_rate.take(self._clock(), SENDING_HOSTS)
+        self._request_limit.take(self._clock(), SENDING_HOSTS)
 
     def _refuse_if_too_late(self, request: AdmissionRequest) -> None:
         remaining_ms = (request.deadline_s - self._clock()) * 1000
--- a/src/goldcrestproxy/targets/agent.py
+++ b/src/goldcrestproxy/targets/agent.py
@@ -16,7 +16,7 @@
 from goldcrestproxy import control
 from goldcrestproxy import errors
 from goldcrestproxy.routing import leases
-from goldcrestproxy.routing import request_limit
+from goldcrestproxy.routing import request_limits
 from goldcrestproxy import signals
 from goldcrestproxy.targets import client as clients
 from goldcrestproxy.targets import grant_expiry
@@ -68,13 +68,13 @@
         in_flight: ty.Callable[[OwnedSlot], int],
         on_lost: ty.Callable[[], ty.Awaitable[None]],
         host: str,
-        limit: request_limit.RequestLimit | None = None,
+        request_limit: request_limits.RequestLimit | None = None,
     ) -> None:
         """Create the agent of a target whose coordinator is this daemon.
 
         :param in_flight: returns the number of requests in flight of a slot
         :param on_lost: awaited before the target is reported as lost
-        :param limit: stores the limit that the target names
+        :param request_limit: stores the limit that the target names
         """
         self.target = record.target
         self.incarnation = record.incarnation
@@ -87,7 +87,7 @@
         self._in_flight = in_flight
         self._on_lost = on_lost
         self._host = host
-        self._limit = limit or request_limit.RequestLimit()
+        self._request_limit = request_limit or request_limits.RequestLimit()
         self._order_number = 0
         self._clock_reading: leases.ClockReading | None = None
         self._ownership_reader = owned_slots.OwnershipReader(record.target)
@@ -249,7 +249,9 @@
             return False
         self._failures = 0
         self._last_answer_s = self._clock()
-        self._limit.record_answer(answer.limit_per_s, self._last_answer_s)
+        self._request_limit.record_answer(
+            answer.limit_per_s, self._last_answer_s
+        )
         self._clock_reading = leases.ClockReading(
             target_clock_ms=answer.clock_ms,
             requested_s=sent_s,
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -288,7 +288,7 @@
 
 def test_request_beyond_its_owners_limit_is_refused_at_once_as_not_run():
     fleet = FakeFleet(UNSAFE)
-    fleet.target.limit.record_answer(0.5, 1.0)
+    fleet.target.request_limit.record_answer(0.5, 1.0)
     sender = FakeSender(fleet, [])
     with pytest.raises(errors.RefusedError) as refused:
         dispatch(fleet, sender)
@@ -306,8 +306,8 @@
 
 def test_retry_beyond_a_limit_does_not_hide_that_the_first_may_have_run():
     fleet = FakeFleet(SAFE)
-    fleet.target.limit.tokens = 1.0
-    fleet.target.limit.record_answer(0.5, 1.0)
+    fleet.target.request_limit.tokens = 1.0
+    fleet.target.request_limit.record_answer(0.5, 1.0)
     sender = FakeSender(
         fleet, [failed(fleet_retries.MaybeRun(text="cut")), ANSWER]
     )
@@ -320,7 +320,7 @@
 def test_requests_beyond_a_limit_go_to_another_target_of_the_pool():
     fleet = FakeFleet(SAFE)
     fleet.services["s"] = attrs.evolve(fleet.services["s"], keyed=False)
-    fleet.target.limit.record_answer(0.5, 1.0)
+    fleet.target.request_limit.record_answer(0.5, 1.0)
     other = fleet_map.TrackedTarget(
         record=attrs.evolve(TARGET, target="t2", zone="zone-b"),
         stats=target_choice.TargetStats(slots=1, work_ms=400.0),
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -143,11 +143,11 @@
         target="a", incarnation=1, limit_per_s=2.0, offered_per_s=8.0
     )
     watcher.name_limits([limit])
-    assert fleet.targets["a"].limit.limit_per_s == 2.0
-    assert fleet.targets["b"].limit.limit_per_s is None
+    assert fleet.targets["a"].request_limit.limit_per_s == 2.0
+    assert fleet.targets["b"].request_limit.limit_per_s is None
     clock.now_s += 1.0
     watcher.name_limits([])
-    assert fleet.targets["a"].limit.limit_per_s is None
+    assert fleet.targets["a"].request_limit.limit_per_s is None
 
 
 def test_only_recently_quarantined_requests_are_refused(fleet, watcher):
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -127,7 +127,7 @@
         for expected in (23.4, 2.0, None):
             with contextlib.suppress(sending.SendError):
                 await attempts.send(5)
-            assert attempts.target.limit.limit_per_s == expected
+            assert attempts.target.request_limit.limit_per_s == expected
 
     run(respond, scenario)
 
--- a/tests/routing/test_request_limit.py
+++ b/tests/routing/test_request_limits.py
@@ -12,7 +12,7 @@
 import attrs
 import pytest
 
-from goldcrestproxy.routing import request_limit
+from goldcrestproxy.routing import request_limits
 
 STEP_S = 0.01
 ANSWER_S = 0.03
@@ -30,7 +30,7 @@
 class Host:
     """An entry host and the callers that send to it."""
 
-    limit: request_limit.RequestLimit
+    limit: request_limits.RequestLimit
     requests_per_s: float
     # When an answer to this host first named a limit.
     told_s: float = math.inf
@@ -54,8 +54,8 @@
     told_sent_s: list = attrs.field(factory=list)
     retry_after_ms: list = attrs.field(factory=list)
     _answers: list = attrs.field(factory=list)
-    _reports: request_limit.NamedLimits = attrs.field(
-        factory=request_limit.NamedLimits
+    _reports: request_limits.NamedLimits = attrs.field(
+        factory=request_limits.NamedLimits
     )
     _next_report_s: float = REPORT_S
 
@@ -130,7 +130,7 @@
     return Simulation(
         hosts=[
             Host(
-                limit=request_limit.RequestLimit(tokens=rng.random()),
+                limit=request_limits.RequestLimit(tokens=rng.random()),
                 requests_per_s=requests_per_s * part / sum(parts),
             )
             for part in parts
@@ -171,7 +171,7 @@
     sent = simulation.sent_between(CONTACT_S, CONTACT_S + RUNNING_S)
     assert sent >= 0.6 * limit_per_s * RUNNING_S
     assert min(simulation.retry_after_ms) > 0
-    assert max(simulation.retry_after_ms) <= request_limit.RETRY_AFTER_MS_MAX
+    assert max(simulation.retry_after_ms) <= request_limits.RETRY_AFTER_MS_MAX
 
 
 def test_callers_of_a_busy_host_get_more_than_an_equal_share():
@@ -210,7 +210,7 @@
     )
     # Until one host asks, and the reports of its answer have arrived.
     simulation.run(
-        20 + 2 / limit_per_s + request_limit.OWN_ANSWER_S + 3 * REPORT_S
+        20 + 2 / limit_per_s + request_limits.OWN_ANSWER_S + 3 * REPORT_S
     )
     assert {host.limit.limit_per_s for host in simulation.hosts} == {None}
     refused = sum(host.refused for host in simulation.hosts)
@@ -219,7 +219,7 @@
 
 
 def test_a_host_without_reports_keeps_its_own_limit():
-    limit = request_limit.RequestLimit(tokens=0.5)
+    limit = request_limits.RequestLimit(tokens=0.5)
     limit.record_fleet(None, 1.0)
     limit.record_answer(3.0, 2.0)
     assert limit.limit_per_s == 3.0
@@ -228,7 +228,7 @@
 
 
 def test_a_target_that_takes_nothing_is_asked_now_and_then():
-    limit = request_limit.RequestLimit()
+    limit = request_limits.RequestLimit()
     limit.record_answer(0.0, 0.0)
     assert not limit.take(1.0, 1)
-    assert limit.take(1.0 + 1 / request_limit.LIMIT_PER_S_MIN, 1)
+    assert limit.take(1.0 + 1 / request_limits.LIMIT_PER_S_MIN, 1)
