--- a/tests/routing/test_request_limits.py
+++ b/tests/routing/test_request_limits.py
@@ -32,6 +32,8 @@
 
     limit: request_limits.RequestLimit
     requests_per_s: float
+    # Whether its reports reach the leader.
+    connected: bool = True
     # When an answer to this host first named a limit.
     told_s: float = math.inf
     offered: int = 0
@@ -46,8 +48,10 @@
     hosts: list
     rng: random.Random
     limit_at: object
-    # Whether the hosts' reports are exchanged.
-    connected: bool = True
+    # Factor of the callers' requests.
+    load: float = 1.0
+    # Number of hosts that the hosts know of, if not all.
+    known_hosts: int | None = None
     now_s: float = 0.0
     sent_s: list = attrs.field(factory=list)
     # Those from hosts that had been told long enough before.
@@ -63,15 +67,19 @@
         while self.now_s < until_s:
             self.now_s += STEP_S
             self._deliver_answers()
-            for host in self.hosts:
-                if self.rng.random() < host.requests_per_s * STEP_S:
-                    self._request(host)
-            if self.connected and self.now_s >= self._next_report_s:
+            rates = [host.requests_per_s for host in self.hosts]
+            count = poisson(self.rng, self.load * sum(rates) * STEP_S)
+            for host in self.rng.choices(self.hosts, rates, k=count):
+                self._request(host)
+            if self.now_s >= self._next_report_s:
                 self._next_report_s += REPORT_S
                 self._report()
 
+    def change_leader(self):
+        self._reports = request_limits.NamedLimits()
+
     def _request(self, host):
-        count = len(self.hosts)
+        count = self.known_hosts or len(self.hosts)
         if host.limit.limit_per_s is not None:
             host.limit.count_offered(self.now_s)
             host.offered += 1
@@ -96,18 +104,21 @@
             host.limit.record_answer(limit_per_s, self.now_s)
             if limit_per_s is not None:
                 host.told_s = min(host.told_s, self.now_s)
-            if limit_per_s is not None or previous_per_s is not None:
+            told = limit_per_s is not None or previous_per_s is not None
+            if told and host.connected:
                 self._reports.record(*TARGET, limit_per_s)
 
     def _report(self):
-        for host in self.hosts:
-            if host.offered:
-                self._reports.count_offered(*TARGET, host.offered, self.now_s)
-                host.offered = 0
+        """Let hosts report and get what the leader knew before that."""
+        connected = [host for host in self.hosts if host.connected]
         fleet_limit = self._reports.read(self.now_s).get(TARGET)
-        for host in self.hosts:
+        for host in connected:
             if fleet_limit or host.limit.limit_per_s is not None:
                 host.limit.record_fleet(fleet_limit, self.now_s)
+            if host.offered:
+                self._reports.count_offered(*TARGET, host.offered, self.now_s)
+        for host in self.hosts:
+            host.offered = 0
 
     def sent_between(self, start_s, end_s):
         return sum(start_s <= t < end_s for t in self.sent_s)
@@ -140,6 +151,15 @@
     )
 
 
+def poisson(rng, mean):
+    """Return a number of events (Knuth, 1969)."""
+    count, product, least = 0, rng.random(), math.exp(-mean)
+    while product > least:
+        count += 1
+        product *= rng.random()
+    return count
+
+
 def window_max(limit_per_s):
     return 1.5 * limit_per_s * WINDOW_S + 5
 
@@ -154,7 +174,8 @@
     simulation = make_simulation(
         host_count, 4 * limit_per_s, lambda _: limit_per_s, seed=seed
     )
-    simulation.connected = connected
+    for host in simulation.hosts:
+        host.connected = connected
     simulation.run(CONTACT_S + RUNNING_S)
     assert simulation.most_in_a_window(
         CONTACT_S, CONTACT_S + RUNNING_S
@@ -232,3 +253,83 @@
     limit.record_answer(0.0, 0.0)
     assert not limit.take(1.0, 1)
     assert limit.take(1.0 + 1 / request_limits.LIMIT_PER_S_MIN, 1)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    ("host_count", "limit_per_s"), [(8, 1.4), (8, 13.0), (8, 60.0), (80, 60.0)]
+)
+def test_a_surge_does_not_exceed_a_limit(host_count, limit_per_s, seed):
+    simulation = make_simulation(
+        host_count, 0.4 * limit_per_s, lambda _: limit_per_s, seed=seed
+    )
+    simulation.run(20)
+    simulation.load = 20.0
+    simulation.run(20 + RUNNING_S)
+    assert simulation.most_in_a_window(
+        CONTACT_S, 20 + RUNNING_S
+    ) <= window_max(limit_per_s)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("limit_per_s", [1.4, 13.0, 60.0])
+@pytest.mark.parametrize("cut_count", [1, 4, 8])
+def test_hosts_whose_view_is_old_do_not_exceed_a_limit(
+    cut_count, limit_per_s, seed
+):
+    simulation = make_simulation(
+        8, 0.4 * limit_per_s, lambda _: limit_per_s, seed=seed
+    )
+    simulation.run(20)
+    for host in simulation.hosts[:cut_count]:
+        host.connected = False
+    simulation.run(25)
+    simulation.load = 20.0
+    simulation.run(25 + RUNNING_S)
+    assert simulation.most_in_a_window(
+        CONTACT_S, 25 + RUNNING_S
+    ) <= window_max(limit_per_s)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("host_count", [8, 80])
+@pytest.mark.parametrize("limit_per_s", [1.4, 13.0, 60.0])
+def test_a_new_leader_lifts_no_limit(limit_per_s, host_count, seed):
+    simulation = make_simulation(
+        host_count, 4 * limit_per_s, lambda _: limit_per_s, seed=seed
+    )
+    simulation.run(20)
+    told = [h for h in simulation.hosts if h.limit.limit_per_s is not None]
+    simulation.change_leader()
+    for _ in range(20):
+        simulation.run(simulation.now_s + REPORT_S)
+        assert {h.limit.limit_per_s for h in told} == {limit_per_s}
+    simulation.run(20 + RUNNING_S)
+    assert simulation.most_in_a_window(
+        CONTACT_S, 20 + RUNNING_S
+    ) <= window_max(limit_per_s)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("limit_per_s", [1.4, 13.0, 60.0])
+def test_hosts_that_join_and_leave_do_not_exceed_a_limit(limit_per_s, seed):
+    """Hosts learn of others after two seconds."""
+    simulation = make_simulation(
+        16, 4 * limit_per_s, lambda _: limit_per_s, seed=seed
+    )
+    joining = simulation.hosts[8:]
+    del simulation.hosts[8:]
+    simulation.run(20)
+    simulation.known_hosts = 8
+    simulation.hosts.extend(joining)
+    simulation.run(22)
+    simulation.known_hosts = None
+    simulation.run(30)
+    del simulation.hosts[:12]
+    simulation.known_hosts = 16
+    simulation.run(32)
+    simulation.known_hosts = None
+    simulation.run(32 + RUNNING_S)
+    assert simulation.most_in_a_window(
+        CONTACT_S, 32 + RUNNING_S
+    ) <= window_max(limit_per_s)
