--- a/src/goldcrestproxy/control/limit_reports.py
+++ b/src/goldcrestproxy/control/limit_reports.py
@@ -14,7 +14,7 @@
     def __init__(self, replica: replicas.Replica) -> None:
         """Start without limits."""
         self._replica = replica
-        self._limits = request_limits.NamedLimits()
+        self._limits = request_limits.NamedLimits(started_s=replica.clock())
 
     @property
     def _targets(self) -> dict[str, registry.RegisteredTarget]:
@@ -51,6 +51,7 @@
                 target=target,
                 incarnation=incarnation,
                 limit_per_s=limit.limit_per_s,
+                withdrawn=limit.limit_per_s is None,
                 offered_per_s=limit.offered_per_s,
             )
             for (target, incarnation), limit in limits.items()
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -205,20 +205,19 @@
     def _apply_limits(self, limits: list[wire.ttypes.TargetLimit]) -> None:
         """Store the limits that all hosts together know."""
         now_s = self._clock()
-        by_target = {
-            (limit.target, limit.incarnation): request_limits.FleetLimit(
-                limit_per_s=limit.limit_per_s,
-                offered_per_s=limit.offered_per_s,
-            )
-            for limit in limits
-        }
-        for tracked in self.targets.values():
-            limit = by_target.get((tracked.name, tracked.record.incarnation))
+        for limit in limits:
+            tracked = self.targets.get(limit.target)
             if (
-                limit is not None
-                or tracked.request_limit.limit_per_s is not None
+                tracked is not None
+                and tracked.record.incarnation == limit.incarnation
             ):
-                tracked.request_limit.record_fleet(limit, now_s)
+                tracked.request_limit.record_fleet(
+                    request_limits.FleetLimit(
+                        limit_per_s=limit.limit_per_s,
+                        offered_per_s=limit.offered_per_s,
+                    ),
+                    now_s,
+                )
 
     def _refresh_quarantine(self) -> None:
         self._last_crashes_s = self._watcher.state.quarantine.last_crashes_s()
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -82,7 +82,7 @@
         self._connected = False
 
     def add_limit_listener(self, callback: LimitListener) -> None:
-        """Call ``callback`` with all limits of targets after each report."""
+        """Call ``callback`` with the leader's limits after each report."""
         self._limit_listeners.append(callback)
 
     @property
--- a/src/goldcrestproxy/routing/request_limits.py
+++ b/src/goldcrestproxy/routing/request_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing as ty
 
@@ -23,19 +24,30 @@
 EQUAL_SHARE_MIN: ty.Final = 0.2
 # How long an answer that this host got counts more than what others got.
 OWN_ANSWER_S: ty.Final = 2.0
-OFFERED_WINDOW_S: ty.Final = 2.0
+OFFERED_WINDOW_S: ty.Final = 4.0
+# By then the requests of all hosts are in a leader's sum.
+COUNTED_S: ty.Final = 2 * OFFERED_WINDOW_S
+# The fleet's sum is this old at most when it arrives at a host.
+REPORT_AGE_S: ty.Final = 1.5
+# A host that hears nothing for longer may not be counted by the others, who
+# then share the whole limit: it takes this ratio of an equal share.
+FLEET_AGE_S: ty.Final = 3.0
+UNHEARD_RATIO: ty.Final = 0.5
+# With fewer requests a host, rates within the window are chance.
+COUNTABLE_PER_S: ty.Final = 1 / OFFERED_WINDOW_S
 
 
 @attrs.frozen(kw_only=True)
 class FleetLimit:
     """What all hosts together know of a target's limit.
 
+    ``limit_per_s`` is None after the target has withdrawn its limit.
     ``offered_per_s`` is the rate of requests that callers of all hosts have
-    for the target.
+    for the target, None while it is not known.
     """
 
-    limit_per_s: float
-    offered_per_s: float
+    limit_per_s: float | None
+    offered_per_s: float | None = None
 
 
 @attrs.define(kw_only=True)
@@ -49,22 +61,26 @@
     tokens: float = 0.0
     _named_per_s: float | None = None
     _named_s: float = -math.inf
-    _fleet_limit: FleetLimit | None = None
+    _fleet_per_s: float | None = None
     _fleet_s: float = -math.inf
     _refilled_s: float = 0.0
     _offered: demand.DecayingSum = attrs.field(
         factory=lambda: demand.DecayingSum(OFFERED_WINDOW_S)
     )
+    # This host's own rates of offered requests, with their times.
+    _own_rates: collections.deque[tuple[float, float]] = attrs.field(
+        factory=collections.deque
+    )
+    # This host's part of all offered requests, None while not known.
+    _share: float | None = None
 
     @property
     def limit_per_s(self) -> float | None:
         """The limit in force, None without one."""
         if self._named_s + OWN_ANSWER_S >= self._fleet_s:
             limit_per_s = self._named_per_s
-        elif self._fleet_limit is not None:
-            limit_per_s = self._fleet_limit.limit_per_s
         else:
-            limit_per_s = None
+            limit_per_s = self._fleet_per_s
         if limit_per_s is None:
             return None
         return max(LIMIT_PER_S_MIN, limit_per_s)
@@ -79,11 +95,30 @@
         self._named_per_s = limit_per_s
         self._named_s = now_s
 
-    def record_fleet(self, limit: FleetLimit | None, now_s: float) -> None:
-        """Store the limit that all hosts together know, None without one."""
-        self._start(limit is not None, now_s)
-        self._fleet_limit = limit
+    def record_fleet(self, limit: FleetLimit, now_s: float) -> None:
+        """Store what all hosts together know of the limit."""
+        self._start(limit.limit_per_s is not None, now_s)
+        self._fleet_per_s = limit.limit_per_s
         self._fleet_s = now_s
+        own_per_s = self._counted_own_rate(now_s)
+        self._share = None
+        if limit.offered_per_s:
+            self._share = min(1.0, own_per_s / limit.offered_per_s)
+
+    def _counted_own_rate(self, now_s: float) -> float:
+        """Return the part of this host's rate that the sum has counted.
+
+        The sum is older than the host's own rate. In a surge, a share by the
+        rate of now would let each host take the whole limit.
+        """
+        rates = self._own_rates
+        rates.append((now_s, self._offered.rate_per_s(now_s)))
+        while len(rates) > 1 and rates[1][0] <= now_s - REPORT_AGE_S:
+            rates.popleft()
+        since_s, counted_per_s = rates[0]
+        if since_s > now_s - REPORT_AGE_S:
+            return 0.0
+        return counted_per_s
 
     def count_offered(self, now_s: float) -> None:
         """Count a request that a caller of this host has for the target."""
@@ -109,8 +144,9 @@
         """Return after how many milliseconds a caller should try again."""
         if self.has_room(now_s, hosts):
             return 0
-        wait_ms = (1 - self.tokens) / self._part_per_s(now_s, hosts) * 1000
-        return min(math.ceil(wait_ms), RETRY_AFTER_MS_MAX)
+        part_per_s = self._part_per_s(now_s, hosts)
+        wait_ms = math.ceil((1 - self.tokens) / part_per_s * 1000)
+        return wait_ms if hosts <= 1 else min(wait_ms, RETRY_AFTER_MS_MAX)
 
     def _start(self, named: bool, now_s: float) -> None:
         """Let no tokens accrue for the time without a limit."""
@@ -120,21 +156,24 @@
     def _part_per_s(self, now_s: float, hosts: int) -> float:
         """Return the rate that this host may send.
 
-        Hosts share a limit in proportion to their callers' requests, as far
-        as these are known, and a small part of it equally.
+        Hosts share a limit in proportion to their callers' requests, and a
+        small part of it equally. They share it equally while these requests
+        are not known or too few to tell hosts apart.
         """
         limit_per_s = self.limit_per_s or 0.0
         if hosts <= 1:
             return limit_per_s
-        share = 1 / hosts
-        fleet_limit = self._fleet_limit
-        if fleet_limit is not None and fleet_limit.offered_per_s > 0:
-            offered_per_s = self._offered.rate_per_s(now_s)
-            share = EQUAL_SHARE_MIN / hosts + (1 - EQUAL_SHARE_MIN) * min(
-                1.0, offered_per_s / fleet_limit.offered_per_s
-            )
+        share = self._share_of(limit_per_s, now_s, hosts)
         return limit_per_s * USED_SHARE * share
 
+    def _share_of(self, limit_per_s: float, now_s: float, hosts: int) -> float:
+        equal = 1 / hosts
+        if now_s >= self._fleet_s + FLEET_AGE_S:
+            return equal * UNHEARD_RATIO
+        if self._share is None or limit_per_s * equal < COUNTABLE_PER_S:
+            return equal
+        return EQUAL_SHARE_MIN * equal + (1 - EQUAL_SHARE_MIN) * self._share
+
     def _refill(self, now_s: float, hosts: int) -> None:
         if self.limit_per_s is None:
             return
@@ -151,10 +190,16 @@
 class NamedLimits:
     """The limits of targets as all hosts together have reported them.
 
-    Targets are told apart by name and incarnation.
+    Targets are told apart by name and incarnation. A limit that was
+    withdrawn is kept as None: a target that is missing here may have a limit
+    of which only hosts know.
     """
 
-    _limits_per_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    # When the leader began to count offered requests.
+    started_s: float
+    _limits_per_s: dict[tuple[str, int], float | None] = attrs.field(
+        factory=dict
+    )
     _offered: dict[tuple[str, int], demand.DecayingSum] = attrs.field(
         factory=dict
     )
@@ -163,10 +208,7 @@
         self, target: str, incarnation: int, limit_per_s: float | None
     ) -> None:
         """Store the limit of a target's latest answer, None without one."""
-        if limit_per_s is None:
-            self._limits_per_s.pop((target, incarnation), None)
-        else:
-            self._limits_per_s[target, incarnation] = limit_per_s
+        self._limits_per_s[target, incarnation] = limit_per_s
 
     def count_offered(
         self, target: str, incarnation: int, requests: int, now_s: float
@@ -179,7 +221,7 @@
 
     @property
     def empty(self) -> bool:
-        """Whether no target names a limit."""
+        """Whether no target has named a limit."""
         return not self._limits_per_s
 
     def limit_per_s(self, target: str, incarnation: int) -> float | None:
@@ -191,15 +233,19 @@
         return {
             key: FleetLimit(
                 limit_per_s=limit_per_s,
-                offered_per_s=(
-                    self._offered[key].rate_per_s(now_s)
-                    if key in self._offered
-                    else 0.0
-                ),
+                offered_per_s=self._offered_per_s(key, now_s),
             )
             for key, limit_per_s in self._limits_per_s.items()
         }
 
+    def _offered_per_s(
+        self, key: tuple[str, int], now_s: float
+    ) -> float | None:
+        offered = self._offered.get(key)
+        if offered is None or now_s < self.started_s + COUNTED_S:
+            return None
+        return offered.rate_per_s(now_s)
+
     def retain(self, targets: ty.Container[tuple[str, int]]) -> None:
         """Remove all other targets."""
         for by_target in (self._limits_per_s, self._offered):
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -224,7 +224,7 @@
   4: optional bool withdrawn,
   /** In reports: requests that callers had for it since the last report. */
   5: optional i32 offered_requests,
-  /** In replies: the rate of such requests at all hosts. */
+  /** In replies: the rate of such requests at all hosts, if it is known. */
   6: optional double offered_per_s,
 }
 
@@ -254,7 +254,7 @@
   4: i32 entry_hosts,
   /** The newest entry that daemons must know of. */
   5: i64 map_index,
-  /** All limits that targets name, absent while the leader is not known. */
+  /** The leader's limits of targets; of others it knows nothing. */
   6: optional list<TargetLimit> limits,
 }
 
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -146,7 +146,13 @@
     assert fleet.targets["a"].request_limit.limit_per_s == 2.0
     assert fleet.targets["b"].request_limit.limit_per_s is None
     clock.now_s += 1.0
+    # A leader that does not know the limit, as after a change.
     watcher.name_limits([])
+    assert fleet.targets["a"].request_limit.limit_per_s == 2.0
+    clock.now_s += 1.0
+    watcher.name_limits(
+        [wire.ttypes.TargetLimit(target="a", incarnation=1, withdrawn=True)]
+    )
     assert fleet.targets["a"].request_limit.limit_per_s is None
 
 
