--- a/tests/stand_in_target.py
+++ b/tests/stand_in_target.py
@@ -2,7 +2,8 @@
 
 Each run of a request is recorded as JSON lines, which tests count. A word in
 the path selects a fault: ``crash``, ``slow``, ``silent``, ``short``,
-``crossed`` or ``large``. ``/control`` changes the service time and state.
+``crossed``, ``large``, ``endless-head`` or ``endless-body``. ``/control``
+changes the service time and state.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import uuid
 
 from tornado import httpclient
+from tornado import iostream
 from tornado import web
 
 
@@ -196,6 +198,10 @@
             )
             self.request.connection.stream.close()
             return
+        if "endless" in self.request.path:
+            await self.write_without_end(request_id)
+            target.record("closed", request_id=request_id)
+            return
         if "crossed" in self.request.path:
             self.set_header("Goldcrest-Request-Id", "another-request")
         if "large" in self.request.path:
@@ -209,6 +215,23 @@
             }
         )
 
+    async def write_without_end(self, request_id: str) -> None:
+        """Write a head or a body until the connection is closed."""
+        stream = self.detach()
+        head = f"HTTP/1.1 200 OK\r\nGoldcrest-Request-Id: {request_id}\r\n"
+        piece = b"x" * 65536
+        if "head" in self.request.path:
+            head += "X-Long: "
+        else:
+            head += "Transfer-Encoding: chunked\r\n\r\n"
+            piece = b"10000\r\n" + piece + b"\r\n"
+        try:
+            await stream.write(head.encode())
+            while True:
+                await stream.write(piece)
+        except iostream.StreamClosedError:
+            pass
+
     get = post = put = delete = work
 
 
--- a/tests/system/test_uploads.py
+++ b/tests/system/test_uploads.py
@@ -7,8 +7,10 @@
 import time
 
 import cluster as clusters
+import pytest
 
 CHUNK = bytes(64 * 1024)
+MEMORY_GROWTH_BYTES_MAX = 24 * 1024 * 1024
 
 
 def peak_memory_bytes(process):
@@ -44,7 +46,7 @@
         assert answer.json["bytes"] == 900 * len(CHUNK)
     for host, start in zip(pool.entry_hosts, before, strict=True):
         growth = peak_memory_bytes(host.process) - start
-        assert growth < 24 * 1024 * 1024, host.name
+        assert growth < MEMORY_GROWTH_BYTES_MAX, host.name
 
 
 def test_target_lost_in_mid_upload_gives_an_honest_outcome(pool):
@@ -90,3 +92,32 @@
     )
     done.wait(0.3)
     assert [r for r in pool.runs() if r["path"] == "/photos/half"] == []
+
+
+@pytest.mark.parametrize("part", ["head", "body"])
+def test_answers_without_end_cost_bounded_time_and_memory(pool, part):
+    """The caller is answered, and the target's connection is closed."""
+    before = [peak_memory_bytes(h.process) for h in pool.entry_hosts]
+    started_s = time.monotonic()
+    for host in pool.entry_hosts:
+        url = f"{host.caller_url}/kisvaros/photos/photos/endless-{part}"
+        try:
+            answer = clusters.fetch(
+                url, headers={"Goldcrest-Deadline-Ms": "1000"}
+            )
+        except http.client.IncompleteRead:
+            # An answer that has begun can only be cut visibly.
+            assert part == "body"
+        else:
+            assert part == "head"
+            assert answer.outcome == "unknown"
+    answered_s = time.monotonic() - started_s
+    # The deadline of each request, and time to answer.
+    assert answered_s < len(pool.entry_hosts) * 1.5
+    clusters.wait_until(
+        lambda: len(pool.runs("closed")) == len(pool.runs("start")),
+        "the connections to the targets are closed",
+    )
+    for host, start in zip(pool.entry_hosts, before, strict=True):
+        growth_bytes = peak_memory_bytes(host.process) - start
+        assert growth_bytes < MEMORY_GROWTH_BYTES_MAX
