--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -7,14 +7,13 @@
 
 import attrs
 
+from goldcrestproxy.control import broken_runs
 from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy import wire
 
 # Broken runs per report; a larger number indicates a network failure.
 BROKEN_RUNS_MAX: ty.Final = 50
-# A new leader needs the broken runs of this time to attribute a crash.
-REPEATED_RUNS_S: ty.Final = 8.0
 
 
 @attrs.define
@@ -139,7 +138,7 @@
 
         They are lost with the host that had them.
         """
-        since_s = self._clock() - REPEATED_RUNS_S
+        since_s = self._clock() - broken_runs.REPORT_RETENTION_S
         self._broken_runs.extend(
             run for at_s, run in self._reported_runs if at_s >= since_s
         )
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -85,7 +85,8 @@
         self._rng = rng
         self._revision = -1
         self._items_revision = -1
-        # By fingerprint. Suspects are many and read with each request.
+        # By fingerprint. Each request reads it; looking through all suspects
+        # takes too long for that.
         self._last_crashes_s: dict[str, float] = {}
         watcher.add_listener(self._refresh)
         watcher.add_listener(self._refresh_quarantine)
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from goldcrestproxy import control
+from goldcrestproxy.control import broken_runs
 from goldcrestproxy.control import observations
 from goldcrestproxy.control import watch_relay
 from goldcrestproxy import errors
@@ -141,7 +142,7 @@
     observed = observations.Observations(lambda: now_s)
     observed.record_broken_run("t1", 1, "poison")
     observed.flush_into(wire.ttypes.WatchRequest())
-    now_s += observations.REPEATED_RUNS_S + 1
+    now_s += broken_runs.REPORT_RETENTION_S + 1
     observed.repeat_runs()
     report = wire.ttypes.WatchRequest()
     observed.flush_into(report)
