--- a/tests/stand_in_target.py
+++ b/tests/stand_in_target.py
@@ -49,12 +49,14 @@
     def cold(self) -> bool:
         return self.completed < self.options.cold_requests
 
-    def record(self, event: str, **fields: object) -> None:
+    def record(
+        self, event: str, time_s: float | None = None, **fields: object
+    ) -> None:
         if self.record_file is None:
             return
         line = {
             "event": event,
-            "time_s": time.monotonic(),
+            "time_s": time.monotonic() if time_s is None else time_s,
             "target": self.options.name,
             **fields,
         }
@@ -71,11 +73,11 @@
             for number, token in order["partitions"]
         } | {f"key-{key}": token for key, token in order["hot_keys"]}
 
-    def refusal_reason(self, headers: dict) -> str | None:
+    def refusal_reason(self, headers: dict, now_s: float) -> str | None:
         slot = headers.get("Goldcrest-Slot")
         if self.options.fencing and slot is not None:
             token = int(headers["Goldcrest-Fencing-Token"])
-            if clock_ms() >= self.until_clock_ms:
+            if int(now_s * 1000) >= self.until_clock_ms:
                 return "not-owner"
             if self.slots.get(slot) != token:
                 return "stale-token"
@@ -157,7 +159,10 @@
         headers = self.request.headers
         request_id = headers.get("Goldcrest-Request-Id", "")
         self.set_header("Goldcrest-Request-Id", request_id)
-        reason = target.refusal_reason(headers)
+        # The process may be stopped between the check and the record, so a
+        # run is recorded with the time for which its grant was checked.
+        now_s = time.monotonic()
+        reason = target.refusal_reason(headers, now_s)
         if reason is not None:
             self.set_status(503)
             self.set_header("Goldcrest-Outcome", "not-run")
@@ -175,7 +180,7 @@
             "cold": target.cold,
             "running": target.running,
         }
-        target.record("start", method=self.request.method, **fields)
+        target.record("start", now_s, method=self.request.method, **fields)
         if "crash" in self.request.path:
             os._exit(1)
         try:
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -26,6 +26,16 @@
     )
 
 
+def wait_owned(cluster, key):
+    """Return the ownership of a key that is not changing hands."""
+
+    def read():
+        ownership = cluster.owner("kisvaros", "pitches", key)
+        return ownership if ownership["owner"] else None
+
+    return clusters.wait_until(read, f"key {key} is owned")
+
+
 class Load:
     """Send requests for many keys through all entry hosts until stopped."""
 
@@ -76,9 +86,12 @@
     for slot, runs in by_slot.items():
         owners = {}
         newest = 0
-        for run in sorted(runs, key=lambda run: run["time_s"]):
+        runs.sort(key=lambda run: run["time_s"])
+        for index, run in enumerate(runs):
             token = int(run["token"])
-            assert token >= newest, f"{slot}: run under an older token"
+            assert token >= newest, (
+                f"{slot}: run under an older token: {runs[: index + 1][-8:]}"
+            )
             newest = token
             owner = owners.setdefault(token, run["target"])
             assert owner == run["target"], (
@@ -120,11 +133,11 @@
     cluster.wait_in_service("pitches")
     load = Load(cluster)
     time.sleep(0.5)
-    owner = cluster.owner("kisvaros", "pitches", "k1")
+    owner = wait_owned(cluster, "k1")
     cluster.targets[owner["owner"]].process.kill()
     wait_served(cluster, "k1")
     cluster.start_target(owner["owner"])
-    coordinator = cluster.owner("kisvaros", "pitches", "k2")["coordinator"]
+    coordinator = wait_owned(cluster, "k2")["coordinator"]
     cluster.hosts[coordinator].process.kill()
     wait_served(cluster, "k2")
     cluster.start_host(coordinator)
@@ -179,7 +192,7 @@
     cluster.wait_in_service("pitches")
     load = Load(cluster)
     time.sleep(0.4)
-    ownership = cluster.owner("kisvaros", "pitches", "k1")
+    ownership = wait_owned(cluster, "k1")
     process = {
         "owner": lambda: cluster.targets[ownership["owner"]].process,
         "coordinator": lambda: cluster.hosts[ownership["coordinator"]].process,
@@ -205,7 +218,7 @@
     cluster.wait_in_service("pitches")
     load = Load(cluster)
     time.sleep(0.4)
-    name = cluster.owner("kisvaros", "pitches", "k1")["owner"]
+    name = wait_owned(cluster, "k1")["owner"]
     process = cluster.targets[name].process
     process.send(signal.SIGSTOP)
     frozen_s = time.monotonic()
