--- a/src/goldcrestproxy/control/limit_reports.py
+++ b/src/goldcrestproxy/control/limit_reports.py
@@ -4,7 +4,7 @@
 
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy import registry
-from goldcrestproxy.routing import request_limits
+from goldcrestproxy.routing import named_limits
 from goldcrestproxy import wire
 
 
@@ -14,7 +14,7 @@
     def __init__(self, replica: replicas.Replica) -> None:
         """Start without limits."""
         self._replica = replica
-        self._limits = request_limits.NamedLimits(started_s=replica.clock())
+        self._limits = named_limits.NamedLimits(started_s=replica.clock())
 
     @property
     def _targets(self) -> dict[str, registry.RegisteredTarget]:
--- a/src/goldcrestproxy/routing/request_limits.py
+++ b/src/goldcrestproxy/routing/request_limits.py
@@ -1,4 +1,4 @@
-"""Limits that targets name for the requests of all hosts together."""
+"""One host's part of the limits that targets name for all hosts."""
 
 from __future__ import annotations
 
@@ -25,8 +25,6 @@
 # How long an answer that this host got counts more than what others got.
 OWN_ANSWER_S: ty.Final = 2.0
 OFFERED_WINDOW_S: ty.Final = 4.0
-# By then the requests of all hosts are in a leader's sum.
-COUNTED_S: ty.Final = 2 * OFFERED_WINDOW_S
 # The fleet's sum is this old at most when it arrives at a host.
 REPORT_AGE_S: ty.Final = 1.5
 # A host that hears nothing for longer may not be counted by the others, who
@@ -38,11 +36,6 @@
 # request, and hosts without callers would leave their parts unused.
 PERMITS_PER_S_MAX: ty.Final = 20.0
 PERMITS_PER_S_AND_HOST_MAX: ty.Final = 0.5
-# Permits that are not asked for accumulate for this long.
-PERMIT_BURST_S: ty.Final = 1.0
-# Interval at which a host may ask again, per entry host: all hosts together
-# ask for at most 100 permits per second that they do not get.
-PERMIT_INTERVAL_MS_PER_HOST: ty.Final = 10
 # After a call for a permit without an answer.
 PERMIT_FAILURE_MS: ty.Final = 500
 
@@ -159,10 +152,12 @@
 
         :param hosts: entry hosts that share the limit
         """
+        if self.limit_per_s is None:
+            return True
         if self.needs_permit(now_s, hosts):
             return now_s >= self._denied_until_s
         self._refill(now_s, hosts)
-        return self.limit_per_s is None or self.tokens >= 1
+        return self.tokens >= 1
 
     def take(self, now_s: float, hosts: int) -> bool:
         """Count a request if it may be sent now; return whether it may.
@@ -214,8 +209,6 @@
         return EQUAL_SHARE_MIN * equal + (1 - EQUAL_SHARE_MIN) * self._share
 
     def _refill(self, now_s: float, hosts: int) -> None:
-        if self.limit_per_s is None:
-            return
         part_per_s = self._part_per_s(now_s, hosts)
         since_s = self._refilled_s
         if not self._hears_of_others(now_s):
@@ -227,124 +220,3 @@
             max(1.0, part_per_s * BURST_S),
             self.tokens + part_per_s * elapsed_s,
         )
-
-
-@attrs.define(kw_only=True)
-class PermitBucket:
-    """Requests that the leader permits for a target, a token bucket.
-
-    It starts empty, since an earlier leader may have given permits.
-    """
-
-    refilled_s: float
-    tokens: float = 0.0
-
-    def take(self, limit_per_s: float, now_s: float) -> int:
-        """Take a permit; return 0, or the milliseconds until there is one."""
-        elapsed_s = max(0.0, now_s - self.refilled_s)
-        self.refilled_s = now_s
-        self.tokens = min(
-            max(1.0, limit_per_s * PERMIT_BURST_S),
-            self.tokens + limit_per_s * elapsed_s,
-        )
-        if self.tokens >= 1:
-            self.tokens -= 1
-            return 0
-        return math.ceil((1 - self.tokens) / limit_per_s * 1000)
-
-
-@attrs.define(kw_only=True)
-class NamedLimits:
-    """The limits of targets as all hosts together have reported them.
-
-    Targets are told apart by name and incarnation. A limit that was
-    withdrawn is kept as None: a target that is missing here may have a limit
-    of which only hosts know.
-    """
-
-    # When the leader began to count offered requests.
-    started_s: float
-    _limits_per_s: dict[tuple[str, int], float | None] = attrs.field(
-        factory=dict
-    )
-    _offered: dict[tuple[str, int], demand.DecayingSum] = attrs.field(
-        factory=dict
-    )
-    _permits: dict[tuple[str, int], PermitBucket] = attrs.field(factory=dict)
-
-    def record(
-        self, target: str, incarnation: int, limit_per_s: float | None
-    ) -> None:
-        """Store the limit of a target's latest answer, None without one."""
-        self._limits_per_s[target, incarnation] = limit_per_s
-
-    def count_offered(
-        self, target: str, incarnation: int, requests: int, now_s: float
-    ) -> None:
-        """Count requests that callers have for a target."""
-        offered = self._offered.setdefault(
-            (target, incarnation), demand.DecayingSum(OFFERED_WINDOW_S)
-        )
-        offered.add(requests, now_s)
-
-    def take_permit(
-        self,
-        target: str,
-        incarnation: int,
-        limit_per_s: float,
-        now_s: float,
-        hosts: int,
-    ) -> int:
-        """Permit a request, or return when to ask again.
-
-        :param limit_per_s: the limit known to the asking host; used while
-            none is known here
-        :param hosts: entry hosts that share the limit
-        :return: 0, or the milliseconds after which the host may ask again
-        """
-        key = target, incarnation
-        known_per_s = self._limits_per_s.get(key, limit_per_s)
-        if known_per_s is None:
-            return 0
-        bucket = self._permits.get(key)
-        if bucket is None:
-            bucket = PermitBucket(refilled_s=now_s)
-            self._permits[key] = bucket
-        wait_ms = bucket.take(max(LIMIT_PER_S_MIN, known_per_s), now_s)
-        if wait_ms == 0:
-            return 0
-        interval_ms = PERMIT_INTERVAL_MS_PER_HOST * hosts
-        return min(RETRY_AFTER_MS_MAX, max(interval_ms, wait_ms))
-
-    @property
-    def empty(self) -> bool:
-        """Whether no target has named a limit."""
-        return not self._limits_per_s
-
-    def limit_per_s(self, target: str, incarnation: int) -> float | None:
-        """Return the limit of a target, None without one."""
-        return self._limits_per_s.get((target, incarnation))
-
-    def read(self, now_s: float) -> dict[tuple[str, int], FleetLimit]:
-        """Return all limits by the target's name and incarnation."""
-        return {
-            key: FleetLimit(
-                limit_per_s=limit_per_s,
-                offered_per_s=self._offered_per_s(key, now_s),
-            )
-            for key, limit_per_s in self._limits_per_s.items()
-        }
-
-    def _offered_per_s(
-        self, key: tuple[str, int], now_s: float
-    ) -> float | None:
-        offered = self._offered.get(key)
-        if offered is None or now_s < self.started_s + COUNTED_S:
-            return None
-        return offered.rate_per_s(now_s)
-
-    def retain(self, targets: ty.Container[tuple[str, int]]) -> None:
-        """Remove all other targets."""
-        for by_target in (self._limits_per_s, self._offered, self._permits):
-            for key in [key for key in by_target if key not in targets]:
-                del by_target[key]
--- a/tests/routing/test_request_limits.py
+++ b/tests/routing/test_request_limits.py
@@ -13,6 +13,7 @@
 import attrs
 import pytest
 
+from goldcrestproxy.routing import named_limits
 from goldcrestproxy.routing import request_limits
 
 STEP_S = 0.01
@@ -61,8 +62,8 @@
     retry_after_ms: list = attrs.field(factory=list)
     _answers: list = attrs.field(factory=list)
     _permits: list = attrs.field(factory=list)
-    _reports: request_limits.NamedLimits = attrs.field(
-        factory=lambda: request_limits.NamedLimits(started_s=0.0)
+    _reports: named_limits.NamedLimits = attrs.field(
+        factory=lambda: named_limits.NamedLimits(started_s=0.0)
     )
     _next_report_s: float = REPORT_S
 
@@ -80,7 +81,7 @@
                 self._report()
 
     def change_leader(self):
-        self._reports = request_limits.NamedLimits(started_s=self.now_s)
+        self._reports = named_limits.NamedLimits(started_s=self.now_s)
 
     def _request(self, host):
         count = self.known_hosts or len(self.hosts)
