--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -351,7 +351,22 @@
             results.OVERLOADED,
             f"target {target.name} takes {limit.limit_per_s} requests a "
             "second",
-            max(SHED_RETRY_AFTER_MS, limit.retry_after_ms(now_s, hosts)),
+            max(SHED_RETRY_AFTER_MS, self._room_after_ms(state, target)),
+        )
+
+    def _room_after_ms(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> int:
+        """Return when a target that may serve the request has room again."""
+        suitable = [target]
+        if not self._is_keyed(state.service):
+            suitable = self._fleet.available_targets(state.service)
+        now_s, hosts = self._clock(), self._fleet.entry_hosts
+        return min(
+            other.request_limit.retry_after_ms(now_s, hosts)
+            for other in suitable
         )
 
     def _is_keyed(self, name: str) -> bool:
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -323,6 +323,23 @@
     assert (limit.target, limit.offered_requests) == ("t1", 1)
 
 
+def test_callers_are_told_when_the_first_target_of_the_pool_has_room():
+    fleet = FakeFleet(SAFE)
+    fleet.services["s"] = attrs.evolve(fleet.services["s"], keyed=False)
+    fleet.target.request_limit.record_answer(0.1, 1.0)
+    other = fleet_map.TrackedTarget(
+        record=attrs.evolve(TARGET, target="t2"),
+        stats=target_choice.TargetStats(slots=4),
+        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+    )
+    other.request_limit.record_answer(2.0, 1.0)
+    fleet.targets["t2"] = other
+    for _ in range(10):
+        with pytest.raises(errors.RefusedError) as refused:
+            dispatch(fleet, FakeSender(fleet, []))
+        assert 500 <= refused.value.retry_after_ms <= 1000
+
+
 def test_request_is_sent_if_the_leader_permits_it():
     fleet = FakeFleet(UNSAFE)
     fleet.name_small_limit()
