--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -29,6 +29,18 @@
 MISDIRECTED_S: ty.Final = 0.25
 
 
+@attrs.frozen(kw_only=True)
+class Quarantine:
+    """A quarantined request at this host.
+
+    ``crash_s`` is when it last crashed a target, on the leader's wall clock;
+    ``until_s`` is when it is let through again, on this host's clock.
+    """
+
+    crash_s: float
+    until_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Ownership:
     """A key block, its owner and the fencing token of the grant."""
@@ -91,7 +103,7 @@
         self._items_revision = -1
         # By fingerprint. Each request reads it; looking through all suspects
         # takes too long for that.
-        self._last_crashes_s: dict[str, float] = {}
+        self._quarantines: dict[str, Quarantine] = {}
         watcher.add_listener(self._refresh)
         watcher.add_listener(self._refresh_quarantine)
         watcher.add_limit_listener(self._apply_limits)
@@ -201,13 +213,13 @@
     @property
     def quarantined(self) -> set[str]:
         """Fingerprints of requests that recently crashed targets."""
-        if not self._last_crashes_s:
+        if not self._quarantines:
             return set()
-        since_s = clocks.wall_s() - QUARANTINE_S
+        now_s = self._clock()
         return {
             fingerprint
-            for fingerprint, at_s in self._last_crashes_s.items()
-            if at_s >= since_s
+            for fingerprint, quarantine in self._quarantines.items()
+            if now_s < quarantine.until_s
         }
 
     @property
@@ -242,7 +254,25 @@
                 )
 
     def _refresh_quarantine(self) -> None:
-        self._last_crashes_s = self._watcher.state.quarantine.last_crashes_s()
+        crashes_s = self._watcher.state.quarantine.last_crashes_s()
+        self._quarantines = {
+            fingerprint: self._quarantine(fingerprint, crash_s)
+            for fingerprint, crash_s in crashes_s.items()
+        }
+
+    def _quarantine(self, fingerprint: str, crash_s: float) -> Quarantine:
+        """Return a quarantine, which starts when this host hears of a crash.
+
+        The wall clocks of the leader and this host may differ. They are
+        compared only for crashes from before this host caught up.
+        """
+        known = self._quarantines.get(fingerprint)
+        if known is not None and known.crash_s == crash_s:
+            return known
+        left_s = QUARANTINE_S
+        if not self._watcher.current:
+            left_s = min(left_s, crash_s + QUARANTINE_S - clocks.wall_s())
+        return Quarantine(crash_s=crash_s, until_s=self._clock() + left_s)
 
     def _refresh(self) -> None:
         state = self.registry
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -204,22 +204,50 @@
         asyncio.run(watcher.ask_permit("a", 1, 2.0))
 
 
-def test_only_recently_quarantined_requests_are_refused(fleet, watcher):
-    def report(fingerprint, time_s, crashes_needed):
-        watcher.apply(
-            control.ReportCrash(
-                target="a",
-                incarnation="1",
-                fingerprints=(fingerprint,),
-                time_s=time_s,
-                crashes_needed=crashes_needed,
-            )
+def report_crash(watcher, fingerprint, *, age_s=0.0, crashes_needed=1):
+    """Apply a crash whose time on the leader's wall clock is ``age_s`` ago."""
+    watcher.apply(
+        control.ReportCrash(
+            target="a",
+            incarnation="1",
+            fingerprints=(fingerprint,),
+            time_s=clocks.wall_s() - age_s,
+            crashes_needed=crashes_needed,
         )
+    )
 
-    now_s = clocks.wall_s()
-    report("poison", now_s, 1)
-    report("suspect", now_s, 2)
-    report("old", now_s - fleet_map.QUARANTINE_S - 1, 1)
+
+def test_only_recently_quarantined_requests_are_refused(fleet, watcher, clock):
+    report_crash(watcher, "old")
+    assert fleet.quarantined == {"old"}
+    clock.now_s += fleet_map.QUARANTINE_S + 1
+    report_crash(watcher, "poison")
+    report_crash(watcher, "suspect", crashes_needed=2)
     assert fleet.quarantined == {"poison"}
+    report_crash(watcher, "old")
+    assert fleet.quarantined == {"old", "poison"}
+    watcher.apply(control.ReleaseQuarantine(fingerprint="old"))
     watcher.apply(control.ReleaseQuarantine(fingerprint="poison"))
     assert fleet.quarantined == set()
+
+
+@pytest.mark.parametrize("difference_s", [-3000.0, -200.0, 200.0, 3000.0])
+def test_wall_clocks_that_differ_do_not_change_a_quarantine(
+    fleet, watcher, clock, difference_s
+):
+    report_crash(watcher, "poison", age_s=difference_s)
+    clock.now_s += fleet_map.QUARANTINE_S - 1
+    assert fleet.quarantined == {"poison"}
+    clock.now_s += 2
+    assert fleet.quarantined == set()
+
+
+def test_host_that_starts_refuses_what_was_quarantined_recently(
+    fleet, watcher, clock
+):
+    watcher.current = False
+    report_crash(watcher, "poison", age_s=fleet_map.QUARANTINE_S / 2)
+    report_crash(watcher, "old", age_s=fleet_map.QUARANTINE_S + 1)
+    assert fleet.quarantined == {"poison"}
+    clock.now_s += fleet_map.QUARANTINE_S / 2 + 1
+    assert fleet.quarantined == set()
