--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -286,6 +286,7 @@
             self._refuse_beyond_cold_rate(state, target)
             if await self._take_from_limit(state, target):
                 return target
+            # Without a permit the target has no room for a while.
 
     def _refuse_beyond_cold_rate(
         self,
