--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,24 +8,18 @@
 import pathlib
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import time
 
+import cluster as clusters
+
 TESTS = pathlib.Path(__file__).parent
 TIMEOUT_S = 30.0
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for bound in sockets:
-            bound.bind(("127.0.0.1", 0))
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for bound in sockets:
-            bound.close()
+    return [clusters.free_port() for _ in range(count)]
 
 
 class Fleet:
