--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -251,12 +251,10 @@
     def _apply_limits(self, limits: list[wire.ttypes.TargetLimit]) -> None:
         """Store the limits that all hosts together know."""
         now_s = self._clock()
-        for limit in limits:
-            tracked = self.targets.get(limit.target)
-            if (
-                tracked is not None
-                and tracked.record.incarnation == limit.incarnation
-            ):
+        known = {(limit.target, limit.incarnation): limit for limit in limits}
+        for tracked in self.targets.values():
+            limit = known.get((tracked.name, tracked.record.incarnation))
+            if limit is not None:
                 tracked.request_limit.record_fleet(
                     request_limits.FleetLimit(
                         limit_per_s=limit.limit_per_s,
@@ -264,6 +262,8 @@
                     ),
                     now_s,
                 )
+            elif tracked.request_limit.limit_per_s is not None:
+                tracked.request_limit.record_unknown(now_s)
 
     def _refresh_quarantine(self) -> None:
         crashes_s = self._watcher.state.quarantine.last_crashes_s()
--- a/src/goldcrestproxy/routing/request_limits.py
+++ b/src/goldcrestproxy/routing/request_limits.py
@@ -66,6 +66,8 @@
     _named_s: float = -math.inf
     _fleet_per_s: float | None = None
     _fleet_s: float = -math.inf
+    # When the leader last answered a report of this host.
+    _heard_s: float = -math.inf
     _refilled_s: float = 0.0
     _offered: demand.DecayingSum = attrs.field(
         factory=lambda: demand.DecayingSum(OFFERED_WINDOW_S)
@@ -105,11 +107,17 @@
         self._start(limit.limit_per_s is not None, now_s)
         self._fleet_per_s = limit.limit_per_s
         self._fleet_s = now_s
+        self._heard_s = now_s
         own_per_s = self._counted_own_rate(now_s)
         self._share = None
         if limit.offered_per_s:
             self._share = min(1.0, own_per_s / limit.offered_per_s)
 
+    def record_unknown(self, now_s: float) -> None:
+        """Store that the leader answered but knows of no limit."""
+        self._heard_s = now_s
+        self._share = None
+
     def record_denial(self, retry_after_ms: int, now_s: float) -> None:
         """Store that the leader gave no permit, or did not answer."""
         self._denied_until_s = now_s + retry_after_ms / 1000
@@ -181,7 +189,7 @@
         return wait_ms if hosts <= 1 else min(wait_ms, RETRY_AFTER_MS_MAX)
 
     def _hears_of_others(self, now_s: float) -> bool:
-        return now_s < self._fleet_s + FLEET_AGE_S
+        return now_s < self._heard_s + FLEET_AGE_S
 
     def _start(self, named: bool, now_s: float) -> None:
         """Let no tokens accrue for the time without a limit."""
@@ -213,7 +221,7 @@
         since_s = self._refilled_s
         if not self._hears_of_others(now_s):
             # No tokens accrue for a time with permits.
-            since_s = max(since_s, self._fleet_s + FLEET_AGE_S)
+            since_s = max(since_s, self._heard_s + FLEET_AGE_S)
         elapsed_s = max(0.0, now_s - since_s)
         self._refilled_s = now_s
         self.tokens = min(
--- a/tests/routing/test_request_limits.py
+++ b/tests/routing/test_request_limits.py
@@ -53,6 +53,7 @@
     limit_at: object
     # Factor of the callers' requests.
     load: float = 1.0
+    report_interval_s: float = REPORT_S
     # Number of hosts that the hosts know of, if not all.
     known_hosts: int | None = None
     now_s: float = 0.0
@@ -65,7 +66,7 @@
     _reports: named_limits.NamedLimits = attrs.field(
         factory=lambda: named_limits.NamedLimits(started_s=0.0)
     )
-    _next_report_s: float = REPORT_S
+    _next_report_s: float = 0.0
 
     def run(self, until_s):
         while self.now_s < until_s:
@@ -77,7 +78,7 @@
             for host in self.rng.choices(self.hosts, rates, k=count):
                 self._request(host)
             if self.now_s >= self._next_report_s:
-                self._next_report_s += REPORT_S
+                self._next_report_s += self.report_interval_s
                 self._report()
 
     def change_leader(self):
@@ -148,6 +149,8 @@
         for host in connected:
             if fleet_limit is not None:
                 host.limit.record_fleet(fleet_limit, self.now_s)
+            elif host.limit.limit_per_s is not None:
+                host.limit.record_unknown(self.now_s)
             if host.offered:
                 self._reports.count_offered(*TARGET, host.offered, self.now_s)
         for host in self.hosts:
@@ -390,6 +393,31 @@
     ) <= window_max(limit_per_s)
 
 
+@pytest.mark.parametrize("host_count", [8, 80])
+@pytest.mark.parametrize("limit_per_s", [1.4, 13.0])
+def test_callers_of_one_host_are_served_after_a_leader_is_lost_in_idle_time(
+    limit_per_s, host_count
+):
+    simulation = make_simulation(
+        host_count, 3 * limit_per_s, lambda _: limit_per_s
+    )
+    simulation.run(60)
+    simulation.load = 0.0
+    simulation.run(65)
+    simulation.change_leader()
+    simulation.run(80)
+    simulation.load = 1.0
+    for host in simulation.hosts:
+        host.requests_per_s = 0.0
+    simulation.hosts[0].requests_per_s = 3 * limit_per_s
+    simulation.run(80 + RUNNING_S)
+    sent = simulation.sent_between(80, 80 + RUNNING_S)
+    assert sent >= 0.6 * limit_per_s * RUNNING_S
+    assert simulation.most_in_a_window(
+        CONTACT_S, 80 + RUNNING_S
+    ) <= window_max(limit_per_s)
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("limit_per_s", [1.4, 13.0, 60.0])
 def test_hosts_that_join_and_leave_do_not_exceed_a_limit(limit_per_s, seed):
