--- a/src/goldcrestproxy/routing/named_limits.py
+++ b/src/goldcrestproxy/routing/named_limits.py
@@ -107,8 +107,8 @@
         if wait_ms == 0:
             return 0
         interval_ms = PERMIT_INTERVAL_MS_PER_HOST * hosts
-        return min(
-            request_limits.RETRY_AFTER_MS_MAX, max(interval_ms, wait_ms)
+        return max(
+            interval_ms, min(wait_ms, request_limits.RETRY_AFTER_MS_MAX)
         )
 
     @property
--- a/src/goldcrestproxy/routing/request_limits.py
+++ b/src/goldcrestproxy/routing/request_limits.py
@@ -183,7 +183,8 @@
         if self.has_room(now_s, hosts):
             return 0
         if self.needs_permit(now_s, hosts):
-            return math.ceil((self._denied_until_s - now_s) * 1000)
+            wait_ms = math.ceil((self._denied_until_s - now_s) * 1000)
+            return min(wait_ms, RETRY_AFTER_MS_MAX)
         part_per_s = self._part_per_s(now_s, hosts)
         wait_ms = math.ceil((1 - self.tokens) / part_per_s * 1000)
         return wait_ms if hosts <= 1 else min(wait_ms, RETRY_AFTER_MS_MAX)
--- a/tests/control/test_limit_reports.py
+++ b/tests/control/test_limit_reports.py
@@ -25,11 +25,11 @@
     return wire.ttypes.WatchRequest(limits=[limit])
 
 
-def ask(reports, limit_per_s=LIMIT_PER_S):
+def ask(reports, limit_per_s=LIMIT_PER_S, hosts=HOSTS):
     request = wire.ttypes.PermitRequest(
         target="t", incarnation=1, limit_per_s=limit_per_s, forwarded=False
     )
-    return reports.permit(request, HOSTS).retry_after_ms
+    return reports.permit(request, hosts).retry_after_ms
 
 
 def count_permits(replica, reports, duration_s):
@@ -63,6 +63,7 @@
     reports = limit_reports.LimitReports(replica)
     assert ask(reports, limit_per_s=1000.0) == 10 * HOSTS
     assert ask(reports, limit_per_s=0.0) == 1000
+    assert ask(reports, hosts=300) == 3000
 
 
 def test_a_withdrawn_limit_holds_nothing_back(replica):
