--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import math
 import random
@@ -318,12 +319,24 @@
     ) -> bool:
         """Count a request in its target's limit; return whether it may go.
 
-        :raises RefusedError: if it was quarantined in the meantime
+        :raises RefusedError: without an answer by the deadline, or if the
+            request was quarantined in the meantime
         """
         limit, hosts = target.request_limit, self._fleet.entry_hosts
         if not limit.needs_permit(self._clock(), hosts):
             return limit.take(self._clock(), hosts)
-        if not await self._fleet.ask_permit(target):
+        left_s = state.deadline_s - self._clock()
+        try:
+            async with asyncio.timeout(left_s - fleet_retries.TIME_LEFT_MIN_S):
+                permitted = await self._fleet.ask_permit(target)
+        except TimeoutError:
+            raise self._not_run_refusal(
+                state,
+                results.OVERLOADED,
+                f"no permit for target {target.name} came in time",
+                SHED_RETRY_AFTER_MS,
+            ) from None
+        if not permitted:
             return False
         await self._refuse_quarantined(state)
         return True
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -110,6 +110,8 @@
     async def ask_permit(self, target):
         await asyncio.sleep(0)
         self.on_ask()
+        if not self.permits:
+            await asyncio.Event().wait()
         permitted = self.permits.pop(0)
         if not permitted:
             target.request_limit.record_denial(300, 1.0)
@@ -374,6 +376,28 @@
     assert sender.targets == ["t2"]
 
 
+@pytest.mark.parametrize("awaited_permits", [0, 1])
+def test_no_request_waits_for_a_permit_beyond_its_deadline(awaited_permits):
+    fleet = FakeFleet(SAFE)
+    fleet.name_small_limit()
+    fleet.permits = [True] * awaited_permits
+    sender = FakeSender(
+        fleet, [failed(fleet_retries.MaybeRun(text="cut"))] * awaited_permits
+    )
+    request = attrs.evolve(REQUEST, deadline_ms=100)
+
+    async def scenario():
+        dispatcher = make_dispatcher(fleet, sender)
+        async with asyncio.timeout(0.2):
+            await dispatcher.dispatch(request, dispatcher.find_route(request))
+
+    with pytest.raises(errors.RefusedError) as refused:
+        asyncio.run(scenario())
+    assert refused.value.code == (
+        results.OUTCOME_UNKNOWN if awaited_permits else results.OVERLOADED
+    )
+
+
 def test_quarantine_that_arrives_while_a_permit_is_awaited_binds():
     fleet = FakeFleet(SAFE)
     fleet.name_small_limit()
