--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -339,7 +339,18 @@
         if not permitted:
             return False
         await self._refuse_quarantined(state)
-        return True
+        return self._is_suitable(state, target)
+
+    def _is_suitable(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> bool:
+        """Whether a target that was chosen may still get the request."""
+        key = state.request.key
+        if key is not None and self._is_keyed(state.service):
+            return self._fleet.owner(state.service, key) is target
+        return self._fleet.targets.get(target.name) is target
 
     def _refuse_beyond_limit(
         self,
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -398,6 +398,27 @@
     )
 
 
+def test_key_that_moves_while_a_permit_is_awaited_is_served_by_its_new_owner():
+    fleet = FakeFleet(UNSAFE)
+    fleet.name_small_limit()
+    fleet.permits = [True]
+    former = fleet.target
+    fleet.targets["t2"] = fleet_map.TrackedTarget(
+        record=attrs.evolve(TARGET, target="t2"),
+        stats=target_choice.TargetStats(slots=4),
+        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+    )
+
+    def move():
+        fleet.target = fleet.targets["t2"]
+
+    fleet.on_ask = move
+    sender = FakeSender(fleet, [ANSWER])
+    assert dispatch(fleet, sender) is ANSWER
+    assert sender.targets == ["t2"]
+    assert fleet.target is not former
+
+
 def test_quarantine_that_arrives_while_a_permit_is_awaited_binds():
     fleet = FakeFleet(SAFE)
     fleet.name_small_limit()
