--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -234,6 +234,7 @@
             target,
             idempotent=state.route.idempotent,
             deadline_s=state.deadline_s,
+            is_allowed=lambda: not self._suspects.is_quarantined(state),
             on_sent=sent,
         )
 
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -75,11 +75,14 @@
         *,
         idempotent: bool,
         deadline_s: float,
+        is_allowed: ty.Callable[[], bool],
         on_sent: ty.Callable[[float], None],
     ) -> fleet_request.FleetAnswer:
         """Send a request once and return the successful answer.
 
         :param deadline_s: monotonic time
+        :param is_allowed: asked once there is a connection; if it returns
+            False, nothing is sent
         :param on_sent: called before the first byte is sent, with the
             seconds that it took to get a connection
         :raises SendError: when the attempt did not succeed
@@ -88,7 +91,13 @@
         pipe = wire.Pipe() if request.body is not None else None
         adaptive_timeout = self._client.adaptive_timeout
 
+        denied = False
+
         def may_send() -> bool:
+            nonlocal denied
+            denied = not is_allowed()
+            if denied:
+                return False
             on_sent(transfer.connect_s)
             if not transfer.reused:
                 adaptive_timeout.record_connection(transfer.connect_s * 1000)
@@ -133,7 +142,10 @@
             if error.timed_out and error.stage is targets.Stage.NOT_SENT:
                 adaptive_timeout.record_timeout()
             waited_s = self._clock() - started_s - transfer.queued_s
-            self._record_failure(transfer, target, failure, waited_s * 1000)
+            if not denied:
+                self._record_failure(
+                    transfer, target, failure, waited_s * 1000
+                )
             if transfer.started and not transfer.mismatched:
                 self._record_broken_run(target, request, body, failure)
             raise SendError(failure) from error
--- a/src/goldcrestproxy/entries/suspects.py
+++ b/src/goldcrestproxy/entries/suspects.py
@@ -37,8 +37,7 @@
         :raises RefusedError: for a quarantined request, or when its body
             does not arrive within the deadline
         """
-        quarantined = self._fleet.quarantined
-        if not quarantined:
+        if not self._fleet.quarantined:
             return
         try:
             async with asyncio.timeout(state.deadline_s - self._clock()):
@@ -48,9 +47,14 @@
                 results.DEADLINE_NOT_RUN,
                 "the body did not arrive within the deadline",
             ) from None
-        if state.fingerprint in quarantined:
+        if self.is_quarantined(state):
             raise refusals.quarantined(state.fingerprint)
 
+    def is_quarantined(self, state: dispatch_state.DispatchState) -> bool:
+        """Whether a request, with the body as read so far, is quarantined."""
+        quarantined = self._fleet.quarantined
+        return bool(quarantined) and state.fingerprint in quarantined
+
     def record_answer(
         self,
         state: dispatch_state.DispatchState,
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -163,6 +163,7 @@
     deadlines_s: list = attrs.field(factory=list)
     targets: list = attrs.field(factory=list)
     on_send: object = lambda: None
+    on_connect: object = lambda: None
 
     async def send(self, _request, _body, target, *, on_sent, **options):
         self.deadlines_s.append(options["deadline_s"])
@@ -170,6 +171,9 @@
         outcome = self.outcomes.pop(0)
         if outcome is NO_CONNECTION:
             await asyncio.Event().wait()
+        self.on_connect()
+        if not options["is_allowed"]():
+            raise sending.SendError(fleet_retries.NotRun(text="not allowed"))
         on_sent(0.0)
         self.sent += 1
         self.on_send()
@@ -474,6 +478,16 @@
     assert sender.sent == 0
 
 
+def test_quarantine_that_arrives_while_a_request_is_connected_binds_it():
+    fleet = FakeFleet(SAFE)
+    sender = FakeSender(fleet, [ANSWER])
+    sender.on_connect = lambda: fleet.quarantined.add(REQUEST.fingerprint(""))
+    with pytest.raises(errors.RefusedError) as refused:
+        dispatch(fleet, sender)
+    assert refused.value.code == results.QUARANTINED
+    assert sender.sent == 0
+
+
 def test_quarantine_before_a_retry_does_not_hide_that_the_first_may_have_run():
     fleet = FakeFleet(SAFE)
     sender = FakeSender(
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -49,13 +49,14 @@
     sender: entries.Sender
     target: fleet_map.TrackedTarget
 
-    async def send(self, left_s, request=REQUEST):
+    async def send(self, left_s, request=REQUEST, is_allowed=lambda: True):
         return await self.sender.send(
             request,
             replay.ReplayableBody(request.body),
             self.target,
             idempotent=False,
             deadline_s=time.monotonic() + left_s,
+            is_allowed=is_allowed,
             on_sent=lambda _: None,
         )
 
@@ -109,6 +110,19 @@
     return respond
 
 
+def test_request_that_may_no_longer_be_sent_does_not_reach_its_target():
+    """It waited for a connection; the target has done nothing wrong."""
+
+    async def scenario(attempts):
+        with pytest.raises(sending.SendError) as caught:
+            await attempts.send(1.0, is_allowed=lambda: False)
+        assert isinstance(caught.value.failure, fleet_retries.NotRun)
+        assert attempts.server.requests == []
+        assert not attempts.target.stats.is_backing_off(time.monotonic())
+
+    run(no_answer, scenario)
+
+
 @pytest.mark.parametrize(
     ("status", "not_run"), [(200, ""), (503, "Not-Executed: 1\r\n")]
 )
