--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -259,6 +259,7 @@
             try:
                 transfer = self._start_transfer(
                     exchange,
+                    fingerprint,
                     owned,
                     deadline_s,
                     new_connection=not request.idempotent,
@@ -273,7 +274,11 @@
                     self.target,
                 )
                 transfer = self._start_transfer(
-                    exchange, owned, deadline_s, new_connection=True
+                    exchange,
+                    fingerprint,
+                    owned,
+                    deadline_s,
+                    new_connection=True,
                 )
                 await self._transfer(exchange, transfer, None)
         except targets.TransferError as error:
@@ -336,6 +341,7 @@
     def _start_transfer(
         self,
         exchange: wire.Exchange,
+        fingerprint: str,
         owned: targets.OwnedSlot | None,
         deadline_s: float,
         *,
@@ -347,6 +353,8 @@
             now_s = self._clock()
             if now_s >= deadline_s or not self._link.has_lease:
                 return False
+            if self._link.state.quarantine.is_quarantined(fingerprint):
+                return False
             return owned is None or self.agent.is_usable(owned)
 
         has_body = request.body_bytes != 0
--- a/tests/entries/test_coordinated_target.py
+++ b/tests/entries/test_coordinated_target.py
@@ -57,10 +57,12 @@
     )
 
 
-async def serve_queued(while_queued):
+async def serve_queued(while_queued, before_connecting=None):
     """Serve a request that first waits for the only slot.
 
     :param while_queued: called with the state and the exchange meanwhile
+    :param before_connecting: called with the state; without it, no
+        connection may be made
     :return: whether the target answered
     """
     server = raw_server.RawServer(None)
@@ -77,6 +79,8 @@
             time.monotonic,
             "h",
         )
+        if before_connecting is not None:
+            target._count_key = lambda *_: before_connecting(state)
         await target.admission.acquire(
             admission.AdmissionRequest(
                 customer="c",
@@ -95,27 +99,39 @@
         try:
             return await serving
         finally:
-            assert server.connections == 0
+            assert server.requests == []
+            assert server.connections == 0 or before_connecting is not None
 
 
-def test_quarantine_that_arrives_while_a_request_is_queued_binds_it():
-    def quarantine(state, _):
-        state.apply(
-            2,
-            commands.ReportCrash(
-                target="t1",
-                incarnation="i1",
-                fingerprints=(FINGERPRINT,),
-                time_s=0.0,
-                crashes_needed=1,
-            ),
-        )
+def quarantine(state, _=None):
+    state.apply(
+        2,
+        commands.ReportCrash(
+            target="t1",
+            incarnation="i1",
+            fingerprints=(FINGERPRINT,),
+            time_s=0.0,
+            crashes_needed=1,
+        ),
+    )
+
 
+def test_quarantine_that_arrives_while_a_request_is_queued_binds_it():
     with pytest.raises(errors.RefusedError) as refused:
         asyncio.run(serve_queued(quarantine))
     assert refused.value.code == results.QUARANTINED
 
 
+def test_quarantine_that_arrives_while_a_request_is_connected_binds_it():
+    with pytest.raises(errors.RefusedError) as refused:
+        asyncio.run(
+            serve_queued(lambda *_: None, before_connecting=quarantine)
+        )
+    assert results.BY_CODE[refused.value.code].outcome is (
+        results.Outcome.NOT_RUN
+    )
+
+
 def test_cancelled_request_does_not_count_as_answered():
     def cancel(_, exchange):
         exchange.cancel()
