--- a/src/goldcrestproxy/routing/admission.py
+++ b/src/goldcrestproxy/routing/admission.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import concurrency
 from goldcrestproxy.routing import request_limits
@@ -79,15 +80,15 @@
 
         :raises RefusedError: immediately when the target's request rate is
             used up, the queue is full or the request would complete too late,
-            and when its deadline passes in the queue
+            when its deadline passes in the queue, and when the target has
+            named a lower limit by the time when it could run
         """
-        self._refuse_beyond_rate()
+        if not self._has_room(self._waiting_count):
+            raise self._rate_refusal(self._waiting_count)
         if not self._waiting_count and self.running < self.limit.allowed:
-            self._count_request()
-            self.running += 1
+            self._take()
             return
         self._refuse_if_too_late(request)
-        self._count_request()
         waiter = self._add(request)
         try:
             async with asyncio.timeout(request.deadline_s - self._clock()):
@@ -111,9 +112,13 @@
         """Admit waiting requests up to the concurrency limit."""
         while self._waiting_count and self.running < self.limit.allowed:
             waiter = self._pop()
-            if not waiter.ready.done():
-                self.running += 1
-                waiter.ready.set_result(None)
+            if waiter.ready.done():
+                continue
+            if not self._has_room():
+                waiter.ready.set_exception(self._rate_refusal())
+                continue
+            self._take()
+            waiter.ready.set_result(None)
 
     def refuse_all(self, code: int, text: str) -> None:
         """Refuse all waiting requests immediately."""
@@ -128,22 +133,32 @@
         rounds = (self.backlog_requests + 1) / self.limit.allowed - 1
         return max(0.0, rounds) * baseline_ms
 
-    def _refuse_beyond_rate(self) -> None:
-        now_s = self._clock()
-        if self._request_limit.has_room(now_s, SENDING_HOSTS):
-            return
-        raise results.refusal(
+    def _has_room(self, waiting: int = 0) -> bool:
+        """Whether the target's request rate leaves room for a request.
+
+        :param waiting: requests that are to run before it
+        """
+        return self._request_limit.has_room(
+            self._clock(), SENDING_HOSTS, waiting
+        )
+
+    def _rate_refusal(self, waiting: int = 0) -> errors.RefusedError:
+        return results.refusal(
             results.OVERLOADED,
             f"the target takes {self._request_limit.limit_per_s} requests a "
             "second",
             max(
                 RETRY_AFTER_MS_MIN,
-                self._request_limit.retry_after_ms(now_s, SENDING_HOSTS),
+                self._request_limit.retry_after_ms(
+                    self._clock(), SENDING_HOSTS, waiting
+                ),
             ),
         )
 
-    def _count_request(self) -> None:
+    def _take(self) -> None:
+        """Count a request that runs now."""
         self._request_limit.take(self._clock(), SENDING_HOSTS)
+        self.running += 1
 
     def _refuse_if_too_late(self, request: AdmissionRequest) -> None:
         remaining_ms = (request.deadline_s - self._clock()) * 1000
--- a/src/goldcrestproxy/routing/request_limits.py
+++ b/src/goldcrestproxy/routing/request_limits.py
@@ -155,17 +155,18 @@
             < max(PERMITS_PER_S_MAX, PERMITS_PER_S_AND_HOST_MAX * hosts)
         )
 
-    def has_room(self, now_s: float, hosts: int) -> bool:
+    def has_room(self, now_s: float, hosts: int, waiting: int = 0) -> bool:
         """Whether a request may be sent now, or a permit be asked for.
 
         :param hosts: entry hosts that share the limit
+        :param waiting: requests of this host that are to be sent before it
         """
         if self.limit_per_s is None:
             return True
         if self.needs_permit(now_s, hosts):
             return now_s >= self._denied_until_s
         self._refill(now_s, hosts)
-        return self.tokens >= 1
+        return self.tokens >= 1 + waiting
 
     def take(self, now_s: float, hosts: int) -> bool:
         """Count a request if it may be sent now; return whether it may.
@@ -178,15 +179,18 @@
             self.tokens -= 1
         return True
 
-    def retry_after_ms(self, now_s: float, hosts: int) -> int:
+    def retry_after_ms(
+        self, now_s: float, hosts: int, waiting: int = 0
+    ) -> int:
         """Return after how many milliseconds a caller should try again."""
-        if self.has_room(now_s, hosts):
+        if self.has_room(now_s, hosts, waiting):
             return 0
         if self.needs_permit(now_s, hosts):
             wait_ms = math.ceil((self._denied_until_s - now_s) * 1000)
             return min(wait_ms, RETRY_AFTER_MS_MAX)
         part_per_s = self._part_per_s(now_s, hosts)
-        wait_ms = math.ceil((1 - self.tokens) / part_per_s * 1000)
+        missing = 1 + waiting - self.tokens
+        wait_ms = math.ceil(missing / part_per_s * 1000)
         return wait_ms if hosts <= 1 else min(wait_ms, RETRY_AFTER_MS_MAX)
 
     def _hears_of_others(self, now_s: float) -> bool:
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -13,6 +13,7 @@
 from goldcrestproxy import results
 from goldcrestproxy.routing import admission
 from goldcrestproxy.routing import concurrency
+from goldcrestproxy.routing import request_limits
 
 
 def make(slots=2, queue=10, warm=True):
@@ -182,3 +183,92 @@
         assert queue.running == 1
 
     asyncio.run(scenario())
+
+
+LIMIT_PER_S = 5.0
+WINDOW_S = 4.0
+# Requests that a limit allows in a window.
+WINDOW_REQUESTS_MAX = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+
+
+class LimitedQueue:
+    """A queue in front of a target with slots, on a clock of its own."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.request_limit = request_limits.RequestLimit()
+        limit = concurrency.ConcurrencyLimit(slots=4, cold_concurrency=4)
+        limit.limit, limit.cold = 4.0, False
+        self.queue = admission.Admission(
+            limit, 1000, lambda: self.now_s, self.request_limit
+        )
+        # Whether the target completes requests.
+        self.completes = True
+        self.started_s = []
+        self.refusals = []
+        self.tasks = []
+
+    async def _serve(self):
+        try:
+            await self.queue.acquire(
+                admission.AdmissionRequest(
+                    customer="c", operation="op", deadline_s=self.now_s + 60.0
+                )
+            )
+        except errors.RefusedError as error:
+            self.refusals.append(error)
+            return
+        self.started_s.append(self.now_s)
+        while not self.completes:
+            await asyncio.sleep(0)
+        self.queue.release()
+
+    async def run_until(self, end_s, interval_s=0.05):
+        while self.now_s < end_s:
+            self.now_s += interval_s
+            self.tasks.append(asyncio.create_task(self._serve()))
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+    def most_in_a_window(self):
+        return max(
+            sum(first <= t < first + WINDOW_S for t in self.started_s)
+            for first in self.started_s
+        )
+
+
+def test_requests_queued_at_a_stalled_target_do_not_exceed_its_limit():
+    async def scenario():
+        target = LimitedQueue()
+        target.request_limit.record_answer(LIMIT_PER_S, 0.0)
+        await target.run_until(5.0)
+        target.completes = False
+        await target.run_until(25.0)
+        target.completes = True
+        await target.run_until(40.0)
+        await asyncio.gather(*target.tasks)
+        assert target.most_in_a_window() <= WINDOW_REQUESTS_MAX
+        late = [t for t in target.started_s if t >= 30.0]
+        assert len(late) >= 0.9 * LIMIT_PER_S * 10.0
+
+    asyncio.run(scenario())
+
+
+def test_limit_that_is_named_binds_the_requests_that_are_queued():
+    async def scenario():
+        target = LimitedQueue()
+        target.completes = False
+        await target.run_until(5.0)
+        target.request_limit.record_answer(LIMIT_PER_S, target.now_s)
+        target.completes = True
+        await target.run_until(target.now_s + 0.5)
+        await asyncio.gather(*target.tasks)
+        late = [t for t in target.started_s if t > 5.0]
+        # With those that get a slot in the next half second.
+        assert len(late) <= 4
+        assert len(target.refusals) >= 90
+        for refused in target.refusals:
+            assert refused.code == results.OVERLOADED
+            assert refused.retry_after_ms > 0
+
+    asyncio.run(scenario())
