--- a/tests/entries/test_endless_answers.py
+++ b/tests/entries/test_endless_answers.py
@@ -137,13 +137,20 @@
 
 @pytest.mark.parametrize("part", ENDLESS)
 def test_answers_to_orders_without_end_cost_bounded_time_and_memory(part):
+    closed = asyncio.Event()
+
     async def respond(server, number, reader, writer):
-        for piece in ENDLESS[part]:
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(0)
-            if reader.at_eof():
-                break
+        # With bytes of the order left, the end would not be noticed.
+        await reader.readexactly(len(ORDER.body()))
+        try:
+            for piece in ENDLESS[part]:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+                if reader.at_eof():
+                    break
+        finally:
+            closed.set()
         return False
 
     async def scenario():
@@ -162,6 +169,7 @@
             growth_bytes = resident_bytes() - before_bytes
             assert growth_bytes < MEMORY_GROWTH_BYTES_MAX
             async with asyncio.timeout(GRACE_S):
+                await closed.wait()
                 await client.close()
 
     asyncio.run(scenario())
