--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -41,6 +41,8 @@
             f"127.0.0.{n + 1}:{registrants}" for n in range(control_count)
         ]
         self._settings = {}
+        # Relays of targets by address, for daemons that use them.
+        self._routes = {}
         for n in range(control_count):
             self._add(
                 f"control-{n}",
@@ -65,6 +67,13 @@
         """Change settings of a daemon; they apply from its next start."""
         self._settings[name].update(changes)
 
+    def reroute(self, name, routes):
+        """Let a daemon reach targets through relays, from its next start.
+
+        ``routes`` holds the relay's HOST:PORT for each target's HOST:PORT.
+        """
+        self._routes[name] = routes
+
     def set_first_start(self, name, value):
         """Set whether the whole fleet is starting for the first time."""
         self._settings[name]["fleet"]["first_start"] = value
@@ -94,9 +103,16 @@
         for name in names or list(self._settings):
             file = self.folder / f"{name}.json"
             file.write_text(json.dumps(self._settings[name]))
+            program = [sys.executable, "-m", "goldcrestproxy.daemon"]
+            if name in self._routes:
+                program = [
+                    sys.executable,
+                    str(TESTS / "rerouted_daemon.py"),
+                    json.dumps(self._routes[name]),
+                ]
             self._run(
                 name,
-                [sys.executable, "-m", "goldcrestproxy.daemon"],
+                program,
                 "--settings",
                 str(file),
             )
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import threading
 
 
@@ -16,6 +17,9 @@
         self.silenced_max = 0
         self.drops_answers = False
         self.connections = 0
+        # Sockets that keep the backlog of a hanging port full.
+        self._blocked = []
+        self._writers = set()
         self._ports = (listen_port, to_port)
         self._loop = asyncio.new_event_loop()
         self._ready = threading.Event()
@@ -51,15 +55,70 @@
             return
         self.connections += 1
         number = self.connections
+        self._writers |= {writer, back_writer}
         await asyncio.gather(
             self._pump(number, reader, back_writer),
             self._pump(number, back_reader, writer, answers=True),
         )
+        self._writers -= {writer, back_writer}
 
     def silence_connections(self) -> None:
         """Drop all further bytes of open connections, but not of new ones."""
         self.silenced_max = self.connections
 
+    def refuse_new(self) -> None:
+        """Refuse new connections; open ones live on."""
+        self._loop.call_soon_threadsafe(self._server.close)
+
+    def hang(self) -> None:
+        """Drop the bytes of open connections and let new ones hang."""
+        self.drops_all = True
+        self._call(self._replace_listener())
+
+    def reset(self) -> None:
+        """Reset open connections and refuse new ones."""
+        self._call(self._reset())
+
+    def heal(self) -> None:
+        """Accept new connections and forward their bytes again.
+
+        Bytes of connections that hung are still dropped.
+        """
+        self.drops_all = False
+        self.silenced_max = self.connections
+        self._call(self._listen_again())
+
+    def _call(self, work) -> None:
+        asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    async def _replace_listener(self) -> None:
+        """Listen with a full backlog, so that opening packets are dropped."""
+        self._server.close()
+        full = socket.socket()
+        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        full.bind(("127.0.0.1", self._ports[0]))
+        full.listen(0)
+        self._blocked.append(full)
+        for _ in range(3):
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex(("127.0.0.1", self._ports[0]))
+            self._blocked.append(client)
+
+    async def _reset(self) -> None:
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _listen_again(self) -> None:
+        self._server.close()
+        for blocked in self._blocked:
+            blocked.close()
+        self._blocked.clear()
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", self._ports[0]
+        )
+
     def strand_connections(self) -> None:
         """Drop the answers on open connections and refuse new ones."""
         self.drops_answers = True
--- /dev/null
+++ b/tests/system/test_hosts_without_targets.py
@@ -0,0 +1,161 @@
+"""Entry hosts that lose their links to targets while callers reach them."""
+
+from __future__ import annotations
+
+import collections
+import concurrent.futures
+import itertools
+import time
+
+import cluster as clusters
+import fleet as fleets
+import pytest
+import relay as relays
+
+ENTRY_HOSTS = 3
+KEYED_TARGETS, POOL_TARGETS = 4, 2
+# From then on after a cut, its host must serve its callers.
+CONTACT_S = 3.0
+CUT_S = CONTACT_S + 4.0
+# First attempts that may fail at hosts that are cut off.
+FAILED_MAX, FAILED_SHARE_MAX = 10, 1 / 50
+SENDERS = 12
+INTERVAL_S = 0.02
+
+
+class CutFleet(fleets.Fleet):
+    """A fleet whose entry hosts reach the targets through relays."""
+
+    def __init__(self, folder):
+        super().__init__(folder, entry_count=ENTRY_HOSTS)
+        self._ports = fleets.free_ports(KEYED_TARGETS + POOL_TARGETS)
+        self.relays = {}
+        for host in range(ENTRY_HOSTS):
+            routes = {}
+            self.relays[host] = []
+            for port in self._ports:
+                relay_port = clusters.free_port()
+                self.relays[host].append(relays.Relay(relay_port, port))
+                routes[f"127.0.0.1:{port}"] = f"127.0.0.1:{relay_port}"
+            self.reroute(f"entry-{host}", routes)
+
+    def add_targets(self):
+        for number, port in enumerate(self._ports):
+            keyed = number < KEYED_TARGETS
+            service = "desk" if keyed else "vault"
+            self.add_target(
+                f"{service}-{number}",
+                service,
+                keyed=keyed,
+                address=f"127.0.0.1:{port}",
+            )
+
+    def close(self):
+        super().close()
+        for relay in itertools.chain(*self.relays.values()):
+            relay.close()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    new_fleet = CutFleet(tmp_path)
+    try:
+        new_fleet.start()
+        status, _ = new_fleet.send_operator_request(
+            "PATCH", "/goldcrestproxy/config", fleets.items()
+        )
+        assert status == 200
+        new_fleet.add_targets()
+        new_fleet.wait_until(
+            lambda: all(
+                new_fleet.is_ready(host)
+                and send(new_fleet, host, number)[0] == 200
+                for host in range(ENTRY_HOSTS)
+                for number in range(12)
+            )
+        )
+        yield new_fleet
+    finally:
+        new_fleet.close()
+
+
+def send(fleet, host, number, request_id=None):
+    """Send a lookup, a booking or an upload; return status and body."""
+    body = f"body {number}".encode()
+    method, path, key = [
+        ("GET", "/look/1", number * 997 % 65536),
+        ("POST", "/book/1", number * 997 % 65536),
+        ("POST", "/photo/1", None),
+    ][number % 3]
+    options = {} if request_id is None else {"Attempt-Id": request_id}
+    try:
+        status, answer, _ = fleet.request(
+            host,
+            method,
+            path,
+            key=key,
+            body=None if method == "GET" else body,
+            chunked=number % 2 == 1 and method == "POST",
+            **{"Deadline-Ms": "800"},
+            **options,
+        )
+    except OSError:
+        return 0, b""
+    if status == 200 and method == "POST":
+        assert answer == body
+    return status, answer
+
+
+def send_for(fleet, duration_s):
+    """Send to all hosts; return host, time, status and id of each request."""
+    started_s = time.monotonic()
+    numbers = itertools.count()
+
+    def run(sender):
+        results = []
+        while time.monotonic() < started_s + duration_s:
+            number = next(numbers)
+            sent_s = time.monotonic() - started_s
+            request_id = f"cut{number:013d}"
+            host = sender % ENTRY_HOSTS
+            status, _ = send(fleet, host, number, request_id)
+            results.append((host, sent_s, status, request_id))
+            time.sleep(INTERVAL_S)
+        return results
+
+    with concurrent.futures.ThreadPoolExecutor(SENDERS) as pool:
+        return list(itertools.chain(*pool.map(run, range(SENDERS))))
+
+
+def assert_served_as_elsewhere(results, cut_hosts):
+    """Check first attempts that were sent from ``CONTACT_S`` on."""
+    counts = {True: collections.Counter(), False: collections.Counter()}
+    for host, sent_s, status, _ in results:
+        if sent_s >= CONTACT_S:
+            counts[host in cut_hosts][status] += 1
+    cut, others = counts[True], counts[False]
+    served_share = cut[200] / cut.total()
+    assert served_share >= 2 / 3 * others[200] / others.total(), counts
+    failed = cut.total() - cut[200]
+    assert failed <= FAILED_MAX + FAILED_SHARE_MAX * cut.total(), counts
+
+
+def assert_statuses_are_true(fleet, results):
+    for _, _, status, request_id in results:
+        runs = fleet.runs(request_id)
+        assert runs <= (0 if status in (421, 429, 503) else 1), request_id
+
+
+@pytest.mark.parametrize("cut", ["hang", "refuse_new", "reset"])
+@pytest.mark.parametrize("cut_hosts", [(0,), (0, 1)])
+def test_a_host_that_reaches_no_target_serves_its_callers(
+    fleet, cut, cut_hosts
+):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sending = pool.submit(send_for, fleet, CUT_S)
+        for host in cut_hosts:
+            for relay in fleet.relays[host]:
+                getattr(relay, cut)()
+        results = sending.result()
+    assert_served_as_elsewhere(results, cut_hosts)
+    assert_statuses_are_true(fleet, results)
