Pass requests on to hosts that reach their target

Cause: an entry host had only its own connections. It took what it could not reach for down, although other hosts reached it: "owner does not answer" within a millisecond for each target, while its map was current and the targets sent heartbeats. Class of fault: a host that takes its own view for the state of the fleet.

A request is passed on once, only if no target may have received it, with key, id, deadline, chosen service and caller; budgets, rates, limits and quarantine apply at the host that sends.

--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -8,6 +8,7 @@
 
 from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.control import commands
+from goldcrestproxy.control import entry_directory
 from goldcrestproxy.control import feed
 from goldcrestproxy.control import formation
 from goldcrestproxy.control import planner
@@ -45,14 +46,17 @@
         timeouts: settings.Timeouts,
         feeder: feed.Feeder,
         registrar_settings: registrars.RegistrarSettings | None = None,
+        directory: entry_directory.EntryDirectory | None = None,
     ) -> None:
         """Bind to a replica that has just won an election.
 
         :param feeder: feeds the daemons that send requests to this host
         :param registrar_settings: None where targets are coordinated and do
             not register themselves
+        :param directory: the entry hosts that this control host knows
         """
         self._replica = replica
+        self._directory = directory or entry_directory.EntryDirectory()
         self.membership_manager = formation.MembershipManager(
             replica, replication
         )
@@ -107,7 +111,10 @@
         """
         leading = self._replication.has_leader_lease()
         now_s = self._replica.clock()
+        entry_hosts = None
         if request.relayed_watchers is not None:
+            self._directory.merge(request.entry_host_list)
+            entry_hosts = self._directory.known()
             self._relayed_watchers[request.host] = (
                 request.relayed_watchers,
                 now_s,
@@ -116,6 +123,8 @@
             self._feeder.feed(
                 channel, request.applied_index, entry=bool(request.entry)
             )
+            self._directory.record(request)
+            entry_hosts = self._directory.neighbours(request)
         limits = None
         if leading and self.registrar is not None:
             self.registrar.observe(request)
@@ -127,6 +136,7 @@
             entry_hosts=self._entry_hosts(now_s),
             map_index=self._replica.state.map_index,
             limits=limits,
+            entry_host_list=entry_hosts,
         )
 
     def permit(
--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -10,6 +10,7 @@
 
 from goldcrestproxy.control import codec
 from goldcrestproxy.control import election as elections
+from goldcrestproxy.control import entry_directory
 from goldcrestproxy.control import feed
 from goldcrestproxy.control import follower as followers
 from goldcrestproxy.control import formation
@@ -63,7 +64,8 @@
         self._follower = followers.Follower(replica, self._election)
         self._leadership: leaderships.Leadership | None = None
         self._feeder = feed.Feeder(replica, self._may_feed)
-        self._relay = relays.WatchRelay(replica, self._feeder)
+        self._directory = entry_directory.EntryDirectory()
+        self._relay = relays.WatchRelay(replica, self._feeder, self._directory)
 
     def _may_feed(self) -> bool:
         """Return whether the state here is as recent as the leader's."""
@@ -123,6 +125,7 @@
             self._timeouts,
             self._feeder,
             self._registrar_settings,
+            self._directory,
         )
         try:
             await self._leadership.run()
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -6,6 +6,7 @@
 import logging
 import typing as ty
 
+from goldcrestproxy.control import entry_directory
 from goldcrestproxy.control import feed
 from goldcrestproxy.control import formation
 from goldcrestproxy.control import observations
@@ -24,8 +25,14 @@
 class WatchRelay:
     """Feeds entry hosts from a follower and forwards their reports."""
 
-    def __init__(self, replica: replicas.Replica, feeder: feed.Feeder) -> None:
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        feeder: feed.Feeder,
+        directory: entry_directory.EntryDirectory | None = None,
+    ) -> None:
         """Start without reports."""
+        self._directory = directory or entry_directory.EntryDirectory()
         self._replica = replica
         self._feeder = feeder
         self._observations = observations.Observations()
@@ -44,6 +51,7 @@
             channel, request.applied_index, entry=bool(request.entry)
         )
         self._observations.merge(request)
+        self._directory.record(request)
         return wire.ttypes.WatchReply(
             serving=True,
             leader_address="",
@@ -51,6 +59,7 @@
             entry_hosts=self._entry_hosts,
             map_index=max(self._map_index, self._replica.state.map_index),
             limits=self._limits,
+            entry_host_list=self._directory.neighbours(request),
         )
 
     async def run(self) -> None:
@@ -75,6 +84,7 @@
             applied_index=self._replica.state.applied_index,
             entry=False,
             relayed_watchers=self._feeder.entry_hosts,
+            entry_host_list=self._directory.fed(),
         )
         self._observations.flush_into(request)
         try:
@@ -91,5 +101,6 @@
             self._limits = reply.limits
             self._entry_hosts = reply.entry_hosts
             self._map_index = reply.map_index
+            self._directory.merge(reply.entry_host_list)
         else:
             self._observations.restore_runs(request)
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -17,6 +17,7 @@
 from goldcrestproxy import entries
 from goldcrestproxy import platform
 from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import target_contact
 from goldcrestproxy import settings
 from goldcrestproxy import storage
 from goldcrestproxy import targets
@@ -55,6 +56,7 @@
     link: entries.StateWatcher
     gate: callers.Gate
     dispatcher: entries.Dispatcher
+    prober: entries.TargetProber
 
 
 @attrs.frozen(kw_only=True)
@@ -120,6 +122,9 @@
             host_settings, fleet_settings, peering, metrics
         )
         entry.link.add_handlers(handlers)
+        handlers.exchange = entries.PassedRequests(
+            entry.dispatcher, entry.gate
+        ).serve
         listeners.extend(entry_listeners)
     return FleetDaemon(
         host_settings=host_settings,
@@ -242,6 +247,8 @@
             host=host_settings.host,
             zone=host_settings.zone,
             session=peering.session,
+            address=host_settings.address,
+            peer_port=host_settings.peer_port,
             seeds=_seeds(host_settings, fleet_settings),
             watch_interval_ms=WATCH_INTERVAL_MS,
             watch_timeout_ms=WATCH_TIMEOUT_MS,
@@ -249,14 +256,28 @@
         peering.peers,
     )
     gate = callers.Gate()
+    fleet = entries.FleetMap(link, clock, rng)
+    contact = target_contact.TargetContact()
+    request_passing = entries.RequestPassing(
+        peering.peers, host_settings.zone, clock, rng
+    )
+    link.add_neighbour_listener(request_passing.set_neighbours)
+    link.takes_requests = lambda: (
+        gate.ready
+        and link.current
+        and not contact.is_cut_off(len(fleet.targets))
+    )
     dispatcher = entries.Dispatcher(
-        entries.FleetMap(link, clock, rng),
+        fleet,
         entries.Sender(
             targets.SharedClient(),
             platform.PlatformHeaders(),
             link.observations,
+            contact,
             clock,
         ),
+        request_passing,
+        contact,
         fleet_retries.ServiceRetryBudgets(
             ratio=fleet_settings.resend_ratio * RETRY_RATIO_FACTOR,
             slack=fleet_settings.resend_slack * RETRY_SLACK_FACTOR,
@@ -284,7 +305,12 @@
     balancer_application = web.Application(
         platform.balancer_routes(gate, lambda: link.current)
     )
-    components = EntryComponents(link=link, gate=gate, dispatcher=dispatcher)
+    components = EntryComponents(
+        link=link,
+        gate=gate,
+        dispatcher=dispatcher,
+        prober=entries.TargetProber(fleet, contact, request_passing, rng),
+    )
     return components, (
         Listener(
             setting="fleet.callers",
--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -29,6 +29,7 @@
 LAST_ANSWERS_S: ty.Final = 0.5
 LAST_ANSWERS_SHARE: ty.Final = 1 / 12
 LAST_ANSWERS_S_MIN: ty.Final = 0.15
+PEER_POLL_INTERVAL_S: ty.Final = 0.01
 # Longest time to close idle connections of callers.
 CLOSE_CALLERS_S: ty.Final = 0.1
 SETTINGS_POLL_INTERVAL_S: ty.Final = 1.0
@@ -80,6 +81,7 @@
     tasks = [asyncio.create_task(_watch_settings(settings_file, reload))]
     if daemon.entry is not None:
         tasks.append(asyncio.create_task(daemon.entry.link.run()))
+        tasks.append(asyncio.create_task(daemon.entry.prober.run()))
     if daemon.control_service is not None:
         tasks.append(asyncio.create_task(daemon.control_service.run()))
     LOG.info(
@@ -186,6 +188,9 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout_at(exit_s):
             await gate.wait_empty()
+    # Answers to requests that other entry hosts have passed on.
+    while daemon.peer_server.busy and loop.time() < exit_s:
+        await asyncio.sleep(PEER_POLL_INTERVAL_S)
     if gate.in_flight:
         LOG.warning("daemon: exit cuts %d requests", gate.in_flight)
     with contextlib.suppress(TimeoutError):
--- a/src/goldcrestproxy/entries/__init__.py
+++ b/src/goldcrestproxy/entries/__init__.py
@@ -13,10 +13,13 @@
 from goldcrestproxy.entries.fleet_map import FleetMap
 from goldcrestproxy.entries.fleet_request import FleetAnswer
 from goldcrestproxy.entries.fleet_request import FleetRequest
+from goldcrestproxy.entries.passed_requests import PassedRequests
+from goldcrestproxy.entries.passing import RequestPassing
 from goldcrestproxy.entries.router import Router
 from goldcrestproxy.entries.sending import Sender
 from goldcrestproxy.entries.state_watcher import StateWatcher
 from goldcrestproxy.entries.state_watcher import WatcherSettings
+from goldcrestproxy.entries.target_prober import TargetProber
 
 __all__ = [
     "ActiveConfiguration",
@@ -29,9 +32,12 @@
     "FleetAnswer",
     "FleetMap",
     "FleetRequest",
+    "PassedRequests",
+    "RequestPassing",
     "RoutedAnswer",
     "Router",
     "Sender",
     "StateWatcher",
+    "TargetProber",
     "WatcherSettings",
 ]
--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -25,6 +25,8 @@
     deadline_s: float
     body: replay.ReplayableBody
     sent_to: list[str] = attrs.field(factory=list)
+    # Entry hosts that were asked to send it, in order.
+    asked_hosts: list[str] = attrs.field(factory=list)
     # Time that each attempt waited for its connection.
     connects_ms: list[int] = attrs.field(factory=list)
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -11,6 +11,7 @@
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import fleet_request
+from goldcrestproxy.entries import passing
 from goldcrestproxy.entries import replay
 from goldcrestproxy.entries import running_requests
 from goldcrestproxy.entries import sending
@@ -20,6 +21,7 @@
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
+from goldcrestproxy.routing import target_contact
 from goldcrestproxy import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -53,6 +55,8 @@
         self,
         fleet: fleet_map.FleetMap,
         sender: sending.Sender,
+        request_passing: passing.RequestPassing,
+        contact: target_contact.TargetContact,
         budgets: fleet_retries.ServiceRetryBudgets,
         zone: str,
         metrics: telemetry.Metrics,
@@ -61,12 +65,16 @@
     ) -> None:
         """Create a dispatcher.
 
+        :param request_passing: passes requests on to other entry hosts
+        :param contact: says which targets this host reaches
         :param zone: the availability zone of this host, preferred in pools
         :param clock: monotonic time in seconds
         """
         self._metrics = metrics
         self._fleet = fleet
         self._sender = sender
+        self._passing = request_passing
+        self._contact = contact
         self._budgets = budgets
         self._zone = zone
         self._clock = clock
@@ -104,21 +112,41 @@
             )
         return named_route
 
+    async def dispatch_passed(
+        self, request: fleet_request.FleetRequest, service: str
+    ) -> fleet_request.FleetAnswer:
+        """Send a request that another entry host has passed on.
+
+        :param service: the service that the other host chose, kept if the
+            route here has it
+        :raises RefusedError: see ``find_route`` and ``dispatch``
+        """
+        named_route = self.find_route(request)
+        return await self.dispatch(request, named_route, service)
+
     async def dispatch(
         self,
         request: fleet_request.FleetRequest,
         named_route: route_table.NamedRoute,
+        chosen_service: str | None = None,
     ) -> fleet_request.FleetAnswer:
         """Send a request to a target and return its answer.
 
         :raises RefusedError: with a result code, when there is no answer
         """
-        service = self._fleet.routes.choose_service(named_route)
+        weighted = {
+            share.service
+            for share in named_route.route.shares
+            if share.weight > 0
+        }
+        service = chosen_service
+        if service not in weighted:
+            service = self._fleet.routes.choose_service(named_route)
         if service is None:
             raise results.refusal(
                 results.NO_TARGET, f"route {named_route.name!r} has no weights"
             )
-        if request.key is not None:
+        if request.key is not None and not request.passed_on:
             self._fleet.count_request(service, request.key)
         started_s = self._clock()
         left_ms = min(
@@ -159,14 +187,15 @@
         while True:
             try:
                 await self._refuse_quarantined(state)
+                answer = await self._pass_on(state)
+                if answer is not None:
+                    return answer
                 target = await self._choose_target(state)
             except errors.RefusedError:
                 if state.answer is not None:
                     return state.answer
                 raise
             try:
-                if not state.sent_to:
-                    self._budgets.of(state.service).record_request()
                 return await self._send(state, target)
             except sending.SendError as error:
                 state.awaiting_answer = False
@@ -178,6 +207,54 @@
                     raise self._final_refusal(state) from error
                 self._mark_if_misdirected(state, error.failure)
 
+    async def _pass_on(
+        self, state: dispatch_state.DispatchState
+    ) -> fleet_request.FleetAnswer | None:
+        """Pass a request on if this host does not reach its target.
+
+        Returns None if it is to be sent from here.
+
+        :raises RefusedError: with the result of another host; for a request
+            that was passed on to this host, as not run
+        """
+        unreached = self._unreached(state)
+        if unreached is None:
+            return None
+        if state.request.passed_on and not state.sent_to:
+            raise results.refusal(
+                results.TARGET_OUT_OF_REACH,
+                f"this entry host does not reach {unreached}",
+                SHED_RETRY_AFTER_MS,
+            )
+        if not self._passing.may_pass(state, unreached):
+            return None
+        answer = await self._passing.pass_on(state, unreached)
+        outcome = "declined" if answer is None else "answered"
+        self._metrics.passed_on.add(1, {"outcome": outcome})
+        return answer
+
+    def _unreached(self, state: dispatch_state.DispatchState) -> str | None:
+        """Return the target, or else the service, that is out of reach."""
+        cut_off = self._contact.is_cut_off(len(self._fleet.targets))
+        key = state.request.key
+        if not self._is_keyed(state.service):
+            pool = self._fleet.available_targets(state.service)
+            unreached = [t for t in pool if self._is_unreached(t)]
+            all_unreached = bool(pool) and len(unreached) == len(pool)
+            return state.service if cut_off or all_unreached else None
+        if key is None:
+            return None
+        owner = self._fleet.owner(state.service, key)
+        if owner is None:
+            return state.service if cut_off else None
+        if owner.record.lost:
+            return None
+        unreached_owner = cut_off or self._is_unreached(owner)
+        return owner.name if unreached_owner else None
+
+    def _is_unreached(self, target: fleet_map.TrackedTarget) -> bool:
+        return self._contact.is_unreached(target.name)
+
     def _answer_at_stop(
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer:
@@ -190,7 +267,8 @@
         if state.awaiting_answer:
             raise results.refusal(
                 results.OUTCOME_UNKNOWN,
-                f"this entry host stopped before {state.sent_to[-1]} answered",
+                f"this entry host stopped before "
+                f"{(state.sent_to or state.asked_hosts)[-1]} answered",
             )
         raise self._not_run_refusal(
             state,
@@ -225,6 +303,8 @@
             if state.sent_to:
                 kind = type(state.failures[-1]).__name__
                 self._metrics.retries.add(1, {"reason": kind})
+            else:
+                self._budgets.of(state.service).record_request()
             state.sent_to.append(target.name)
             state.awaiting_answer = True
 
@@ -472,6 +552,7 @@
         self, state: dispatch_state.DispatchState
     ) -> fleet_map.TrackedTarget:
         pool = self._fleet.available_targets(state.service)
+        pool = [t for t in pool if not self._is_unreached(t)] or pool
         untried = [t for t in pool if t.name not in state.sent_to]
         candidates = self._with_room(untried) or self._with_room(pool) or pool
         chosen = target_choice.choose_from_pool(
@@ -568,6 +649,8 @@
             service=state.service,
             key=state.request.key,
             sent_to=state.sent_to,
+            asked_hosts=state.asked_hosts,
+            passed_on=state.request.passed_on,
             connects_ms=state.connects_ms,
             failures=[str(failure) for failure in state.failures],
             outcome=outcome,
--- a/src/goldcrestproxy/entries/fleet_request.py
+++ b/src/goldcrestproxy/entries/fleet_request.py
@@ -17,7 +17,7 @@
     ``request_target`` is the path with the query, as in the request line.
     ``key`` is None for a request without a key. ``body_bytes`` is -1 when
     the length is unknown and 0 without a body. ``caller`` is the IP address
-    of the caller.
+    of the caller. ``passed_on`` requests come from another entry host.
     """
 
     request_id: str
@@ -30,6 +30,7 @@
     body_bytes: int
     deadline_ms: int | None
     caller: str = ""
+    passed_on: bool = False
 
     def fingerprint(self, body_digest: str) -> str:
         """Return a digest that is equal for repetitions of this request."""
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -14,6 +14,7 @@
 from goldcrestproxy.entries import replay
 from goldcrestproxy import errors
 from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import target_contact
 from goldcrestproxy import targets
 from goldcrestproxy import telemetry
 from goldcrestproxy import wire
@@ -54,15 +55,18 @@
         client: targets.SharedClient,
         conventions: targets.HeaderConventions,
         target_observations: observations.Observations,
+        contact: target_contact.TargetContact,
         clock: ty.Callable[[], float],
     ) -> None:
         """Create a sender.
 
         :param conventions: adds and reads the headers that targets expect
         :param target_observations: collects durations and broken requests
+        :param contact: records which targets are reached
         :param clock: monotonic time in seconds
         """
         self._observations = target_observations
+        self._contact = contact
         self._client = client
         self._conventions = conventions
         self._clock = clock
@@ -100,6 +104,7 @@
                 return False
             on_sent(transfer.connect_s)
             if not transfer.reused:
+                self._contact.record_connection(target.name)
                 adaptive_timeout.record_connection(transfer.connect_s * 1000)
             return True
 
@@ -178,6 +183,7 @@
         started_s: float,
     ) -> fleet_request.FleetAnswer:
         head = await transfer.head
+        self._contact.record_answer()
         metadata = self._conventions.read_metadata(head.status, head.headers)
         now_s = self._clock()
         if metadata.load is not None:
@@ -268,6 +274,8 @@
                 return
             case _:
                 target.stats.record_failure(now_s)
+                if not transfer.answered:
+                    self._contact.record_failure(target.name)
 
     def _record_broken_run(
         self,
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -30,6 +30,7 @@
 # A control host may have to ask the leader.
 PERMIT_TIMEOUT_MS: ty.Final = 300
 
+NeighbourListener = ty.Callable[[list[wire.ttypes.EntryHost]], None]
 LimitListener = ty.Callable[[list[wire.ttypes.TargetLimit]], None]
 
 
@@ -43,6 +44,8 @@
     host: str
     zone: str
     session: str
+    address: str
+    peer_port: int
     seeds: tuple[wire.PeerAddress, ...]
     watch_interval_ms: int
     watch_timeout_ms: int
@@ -75,6 +78,9 @@
         self.last_answer_s: float | None = None
         self.observations = observations.Observations()
         self._limit_listeners: list[LimitListener] = []
+        self._neighbour_listeners: list[NeighbourListener] = []
+        # Whether this host sends requests on behalf of others.
+        self.takes_requests: ty.Callable[[], bool] = lambda: False
         self._settings = watcher_settings
         self._peers = peers
         self._clock = clock
@@ -87,6 +93,10 @@
         """Call ``callback`` with the leader's limits after each report."""
         self._limit_listeners.append(callback)
 
+    def add_neighbour_listener(self, callback: NeighbourListener) -> None:
+        """Call ``callback`` with other entry hosts after each report."""
+        self._neighbour_listeners.append(callback)
+
     async def ask_permit(
         self, target: str, incarnation: int, limit_per_s: float
     ) -> int:
@@ -150,6 +160,9 @@
             zone=self._settings.zone,
             applied_index=self.state.applied_index,
             entry=True,
+            address=self._settings.address,
+            peer_port=self._settings.peer_port,
+            takes_requests=self.takes_requests(),
         )
         self.observations.flush_into(request)
         try:
@@ -178,6 +191,9 @@
         if reply.limits is not None:
             for callback in self._limit_listeners:
                 callback(reply.limits)
+        if reply.entry_host_list is not None:
+            for listener in self._neighbour_listeners:
+                listener(reply.entry_host_list)
         return True
 
     def _update_current(self, map_index: int) -> None:
--- a/src/goldcrestproxy/results.py
+++ b/src/goldcrestproxy/results.py
@@ -74,6 +74,7 @@
 TARGET_UNREACHABLE = 3004
 QUARANTINED = 3006
 STILL_RUNNING = 3007
+TARGET_OUT_OF_REACH = 3008
 OUTCOME_UNKNOWN = 4001
 DEADLINE_UNKNOWN = 4002
 ANSWER_INCOMPLETE = 4003
@@ -271,6 +272,14 @@
         "An earlier request with this Idempotency-Key is running.",
         _RETRY_LATER,
     ),
+    _row(
+        TARGET_OUT_OF_REACH,
+        "target-out-of-reach",
+        503,
+        _NOT_RUN,
+        "The entry host that was asked does not reach the target either.",
+        _RETRY_LATER,
+    ),
     _row(
         OUTCOME_UNKNOWN,
         "outcome-unknown",
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -149,6 +149,11 @@
         self._send_paused = False
         self._receive_paused = False
 
+    @property
+    def answered(self) -> bool:
+        """Whether the head of an answer has arrived."""
+        return self.head.done() and self.head.exception() is None
+
     async def run(self) -> None:
         """Send the request and receive the answer.
 
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -39,6 +39,10 @@
             description="Attempts after the first, by reason.",
         )
 
+        self.passed_on = meter.create_counter(
+            "goldcrestproxy.passed_on",
+            description="Requests that another entry host was asked to send.",
+        )
         self.refusals = meter.create_counter(
             "goldcrestproxy.refusals",
             description="Requests that this host refused, by result code.",
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -47,6 +47,9 @@
   15: string idempotency_key,
   16: string operation,
   17: string body_digest,
+  /** Host header and address of the caller, of requests in fleets. */
+  18: optional string caller_host,
+  19: optional string caller_address,
 }
 
 /** Head of the answer; code 0 is an answer of the target itself. */
@@ -229,6 +232,14 @@
 }
 
 /** A daemon follows the replicated state without holding a lease. */
+/** An entry host that sends requests on behalf of others. */
+struct EntryHost {
+  1: string host,
+  2: string zone,
+  3: string address,
+  4: i32 peer_port,
+}
+
 struct WatchRequest {
   1: string host,
   2: string session,
@@ -243,6 +254,12 @@
   /** Fingerprints suspected of crashes whose requests a target answered. */
   10: list<string> cleared,
   11: list<TargetLimit> limits,
+  /** Where the host takes requests that others cannot send. */
+  12: optional string address,
+  13: optional i32 peer_port,
+  14: optional bool takes_requests,
+  /** Entry hosts that the asking control host feeds. */
+  15: optional list<EntryHost> entry_host_list,
 }
 
 struct WatchReply {
@@ -256,6 +273,8 @@
   5: i64 map_index,
   /** The leader's limits of targets; of others it knows nothing. */
   6: optional list<TargetLimit> limits,
+  /** Other entry hosts that reach targets. */
+  7: optional list<EntryHost> entry_host_list,
 }
 
 /** A host asks the leader whether a target may get another request. */
--- a/tests/daemon/test_fleet_running.py
+++ b/tests/daemon/test_fleet_running.py
@@ -44,6 +44,7 @@
     daemon = types.SimpleNamespace(
         entry=entry_of(gate),
         control_service=None,
+        peer_server=types.SimpleNamespace(busy=False),
         fleet_settings=types.SimpleNamespace(stop_s=5.0),
         listeners=[
             types.SimpleNamespace(setting="fleet.callers", server=server)
@@ -79,6 +80,7 @@
         daemon = types.SimpleNamespace(
             entry=entry_of(gate),
             control_service=None,
+            peer_server=types.SimpleNamespace(busy=False),
             fleet_settings=types.SimpleNamespace(stop_s=5.0),
             listeners=[
                 types.SimpleNamespace(setting="fleet.callers", server=server)
@@ -113,6 +115,7 @@
             types.SimpleNamespace(
                 entry=entry_of(gate),
                 control_service=None,
+                peer_server=types.SimpleNamespace(busy=False),
                 fleet_settings=types.SimpleNamespace(stop_s=5.0),
                 listeners=[],
             )
@@ -146,6 +149,7 @@
             types.SimpleNamespace(
                 entry=entry,
                 control_service=None,
+                peer_server=types.SimpleNamespace(busy=False),
                 fleet_settings=types.SimpleNamespace(stop_s=1.0),
                 listeners=[],
             )
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -25,6 +25,7 @@
 from goldcrestproxy.routing import request_limits
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
+from goldcrestproxy.routing import target_contact
 from goldcrestproxy import settings
 from goldcrestproxy import telemetry
 from goldcrestproxy import wire
@@ -186,17 +187,21 @@
         return outcome
 
 
-def make_dispatcher(fleet, sender):
+def make_dispatcher(fleet, sender, request_passing=None, contact=None):
+    rng = random.Random(1)
     return entries.Dispatcher(
         fleet,
         sender,
+        request_passing
+        or entries.RequestPassing(None, "zone-a", lambda: 1.0, rng),
+        contact or target_contact.TargetContact(),
         fleet_retries.ServiceRetryBudgets(
             ratio=0.1, slack=10.0, window_s=10.0
         ),
         "zone-a",
         telemetry.make_metrics(settings.Telemetry(), "test"),
         lambda: 1.0,
-        random.Random(1),
+        rng,
     )
 
 
--- /dev/null
+++ b/tests/entries/test_passing.py
@@ -0,0 +1,139 @@
+"""Requests for targets that this host does not reach; no network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+import pytest
+import test_dispatcher as dispatching
+
+from goldcrestproxy import entries
+from goldcrestproxy import errors
+from goldcrestproxy import results
+from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import target_contact
+from goldcrestproxy import wire
+
+NEIGHBOURS = [
+    wire.ttypes.EntryHost(
+        host=f"entry-{n}", zone="zone-a", address=f"10.0.0.{n}", peer_port=70
+    )
+    for n in range(3)
+]
+HEAD = wire.ttypes.RelayResponse(
+    code=results.ANSWERED,
+    status=200,
+    headers=[],
+    body_bytes=4,
+    text="",
+    retry_after_ms=0,
+)
+
+
+def head_with(head, **changes):
+    fields = {name: getattr(head, name) for name in HEAD.__slots__}
+    return wire.ttypes.RelayResponse(**{**fields, **changes})
+
+
+def refused(code):
+    return head_with(HEAD, code=code, status=0, retry_after_ms=70)
+
+
+class FakePeers:
+    """Neighbours that take requests; ``responses`` are used in order.
+
+    None stands for a neighbour that cannot be reached.
+    """
+
+    def __init__(self, *responses):
+        self.responses = list(responses)
+        self.opened = []
+
+    async def open(self, address, exchange):
+        response = self.responses.pop(0)
+        if response is None:
+            raise errors.ChannelClosedError(f"{address} cannot be reached")
+        self.opened.append(exchange)
+        if isinstance(response, Exception):
+            exchange.fail(response)
+            return
+        exchange.set_response(response)
+        exchange.response_body.feed(b"done")
+        exchange.response_body.finish()
+
+
+def dispatch(peers, *, kind=dispatching.UNSAFE, outcomes=(), **changes):
+    """Dispatch a request at a host that reaches no target."""
+    fleet = dispatching.FakeFleet(kind)
+    sender = dispatching.FakeSender(fleet, list(outcomes))
+    request = attrs.evolve(dispatching.REQUEST, **changes)
+    passing = entries.RequestPassing(
+        peers, "zone-a", lambda: 1.0, random.Random(1)
+    )
+    passing.set_neighbours(NEIGHBOURS)
+    contact = target_contact.TargetContact()
+    if not outcomes:
+        contact.record_failure("t1")
+
+    async def scenario():
+        dispatcher = dispatching.make_dispatcher(
+            fleet, sender, passing, contact
+        )
+        route = dispatcher.find_route(request)
+        return await dispatcher.dispatch(request, route)
+
+    return asyncio.run(scenario()), sender
+
+
+def test_a_request_is_passed_on_with_its_key_and_deadline():
+    peers = FakePeers(HEAD)
+    answer, sender = dispatch(peers)
+    assert (answer.status, answer.body) == (200, b"done")
+    assert sender.sent == 0
+    sent = peers.opened[0].request
+    assert (sent.request_id, sent.key_hash, sent.desk) == ("r1", 5, "s")
+    assert 0 < sent.deadline_ms < dispatching.REQUEST.deadline_ms
+
+
+@pytest.mark.parametrize(
+    "first", [None, refused(results.STOPPING), refused(3008)]
+)
+def test_another_host_is_asked_after_one_that_took_nothing(first):
+    answer, _ = dispatch(FakePeers(first, HEAD))
+    assert answer.status == 200
+
+
+def test_refusals_of_a_neighbour_reach_the_caller_unchanged():
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(FakePeers(refused(results.OVERLOADED)))
+    assert caught.value.code == results.OVERLOADED
+    assert caught.value.retry_after_ms == 70
+
+
+@pytest.mark.parametrize("kind", [dispatching.UNSAFE, dispatching.SAFE])
+def test_a_neighbour_that_breaks_off_leaves_the_outcome_unknown(kind):
+    peers = FakePeers(errors.ChannelClosedError("gone"), HEAD)
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(peers, kind=kind)
+    assert caught.value.code == results.OUTCOME_UNKNOWN
+    assert len(peers.opened) == 1
+
+
+def test_no_request_is_passed_on_twice():
+    peers = FakePeers(HEAD)
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(peers, passed_on=True)
+    assert caught.value.code == results.TARGET_OUT_OF_REACH
+    assert results.BY_CODE[3008].outcome is results.Outcome.NOT_RUN
+    assert peers.opened == []
+
+
+def test_no_request_is_passed_on_that_a_target_may_have_received():
+    peers = FakePeers(HEAD)
+    failure = dispatching.failed(fleet_retries.MaybeRun(text="cut"))
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(peers, outcomes=[failure])
+    assert caught.value.code == results.OUTCOME_UNKNOWN
+    assert peers.opened == []
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -22,6 +22,7 @@
 from goldcrestproxy.routing import cold_rate
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy.routing import target_choice
+from goldcrestproxy.routing import target_contact
 from goldcrestproxy import targets
 from goldcrestproxy.targets import shared_client
 from goldcrestproxy.targets import transfer
@@ -89,6 +90,7 @@
                 client,
                 conventions or platform.PlatformHeaders(),
                 observations.Observations(),
+                target_contact.TargetContact(),
                 time.monotonic,
             )
             await scenario(Attempts(server, client, sender, target))
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -112,6 +112,7 @@
                     gate=self.gate, dispatcher=self.dispatcher
                 ),
                 control_service=None,
+                peer_server=types.SimpleNamespace(busy=False),
                 fleet_settings=types.SimpleNamespace(stop_s=stop_s),
                 listeners=[listener],
             )
--- a/tests/system/test_hosts_without_targets.py
+++ b/tests/system/test_hosts_without_targets.py
@@ -5,6 +5,7 @@
 import collections
 import concurrent.futures
 import itertools
+import signal
 import time
 
 import cluster as clusters
@@ -159,3 +160,83 @@
         results = sending.result()
     assert_served_as_elsewhere(results, cut_hosts)
     assert_statuses_are_true(fleet, results)
+
+
+def test_a_host_sends_itself_again_once_it_reaches_targets(fleet):
+    for relay in fleet.relays[0]:
+        relay.hang()
+    send_for(fleet, 1.0)
+    fleet.wait_until(lambda: send(fleet, 0, 0)[0] == 200)
+    for relay in fleet.relays[0]:
+        relay.heal()
+    log = fleet.logs["entry-0"]
+    fleet.wait_until(lambda: "targets are reached again" in log.read_text())
+    time.sleep(CONTACT_S)
+    healed_at = len(log.read_text())
+    results = send_for(fleet, 1.0)
+    # Keys may still move.
+    failed = [status for _, _, status, _ in results if status != 200]
+    assert len(failed) <= FAILED_MAX
+    assert '"asked_hosts": ["' not in log.read_text()[healed_at:]
+
+
+def test_a_large_upload_is_passed_on_whole(fleet):
+    for relay in fleet.relays[0]:
+        relay.hang()
+    send_for(fleet, 1.0)
+    body = bytes(range(256)) * 16384
+    for chunked in (False, True):
+        status, answer, _ = fleet.request(
+            0, "POST", "/photo/1", body=body, chunked=chunked
+        )
+        assert status == 200
+        assert answer == body
+
+
+def test_a_caller_that_leaves_ends_its_request_at_both_hosts(fleet):
+    for relay in fleet.relays[0]:
+        relay.hang()
+    send_for(fleet, 1.0)
+    request_id = "leaving0"
+    with pytest.raises(TimeoutError):
+        fleet.request(
+            0,
+            "POST",
+            "/photo/1",
+            body=b"x",
+            timeout_s=0.5,
+            **{"Attempt-Id": request_id, "Work-Seconds": "5"},
+        )
+
+    def cancelled_hosts():
+        return [
+            name
+            for name, log in fleet.logs.items()
+            for line in log.read_text().splitlines()
+            if request_id in line and '"outcome": "cancelled"' in line
+        ]
+
+    fleet.wait_until(lambda: len(cancelled_hosts()) == 2, timeout_s=1.0)
+    assert "entry-0" in cancelled_hosts()
+
+
+def test_requests_that_were_passed_on_outlast_a_stop(fleet):
+    for relay in fleet.relays[0]:
+        relay.hang()
+    send_for(fleet, 1.0)
+    with concurrent.futures.ThreadPoolExecutor(20) as pool:
+        answers = [
+            pool.submit(
+                fleet.request,
+                0,
+                "POST",
+                "/photo/1",
+                body=b"x",
+                **{"Work-Seconds": "1.0"},
+            )
+            for _ in range(20)
+        ]
+        time.sleep(0.3)
+        for host in range(1, ENTRY_HOSTS):
+            fleet.signal(f"entry-{host}", signal.SIGTERM)
+        assert {answer.result()[0] for answer in answers} == {200}
