--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -9,7 +9,8 @@
 with the header ``Drop-Silently`` prints "DROPPED request-id" and is never
 answered. One whose path contains "crash" ends the process. With ``--events``,
 holds, runs and drops are also printed as "EVENT" lines of JSON with their
-time.
+time. After SIGHUP it turns requests away and asks for rest; after SIGALRM its
+answers, but not its heartbeats, say that it leaves.
 """
 
 from __future__ import annotations
@@ -44,6 +45,11 @@
         self.listen = options.listen or options.address
         self.events = options.events
         self.limit_per_s = options.limit
+        self.rest_s = options.rest
+        # Until then, it turns all requests away.
+        self.rest_until_s = 0.0
+        # Whether its answers say that it leaves; its heartbeats do not.
+        self.answers_leaving = False
         # A slow clock makes holds last longer than granted.
         self.clock_rate = 1 - options.slow
         # Highest token received by first key, also for ranges not held now.
@@ -163,6 +169,16 @@
         self.set_header("Server-Load", load)
         if self.target.limit_per_s:
             self.set_header("Server-Limit", str(self.target.limit_per_s))
+        if self.target.answers_leaving:
+            self.set_header("Server-Leaving", "1")
+        self.target.print_event("arrival", id=request_id)
+        rest_s = self.target.rest_until_s - time.monotonic()
+        if rest_s > 0:
+            self.set_status(503)
+            self.set_header("Not-Executed", "1")
+            self.set_header("Retry-After", f"{rest_s:.3f}")
+            self.target.print_event("away", id=request_id, rest_s=rest_s)
+            return
         key = headers.get("Shard-Key")
         misdirected = headers.get("Target-Instance", self.target.name) != (
             self.target.name
@@ -230,6 +246,12 @@
         default=0.0,
         help="limit to name, in requests per second, until SIGUSR2",
     )
+    parser.add_argument(
+        "--rest",
+        type=float,
+        default=0.0,
+        help="seconds for which it asks for rest after SIGHUP",
+    )
     parser.add_argument("--listen", help="if not where others reach it")
     parser.add_argument(
         "--slow", type=float, default=0.0, help="part by which a clock lags"
@@ -247,7 +269,15 @@
     def withdraw_limit():
         target.limit_per_s = 0.0
 
+    def rest():
+        target.rest_until_s = time.monotonic() + target.rest_s
+
+    def answer_leaving():
+        target.answers_leaving = True
+
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, rest)
+    loop.add_signal_handler(signal.SIGALRM, answer_leaving)
     loop.add_signal_handler(signal.SIGUSR1, start_draining)
     loop.add_signal_handler(signal.SIGUSR2, withdraw_limit)
     loop.add_signal_handler(
