Keep the rest that a target asks a host for

Cause: the header was not read. Class of fault: a bound that a target names and that has to hold for requests in every stage, new, queued and second attempts.

It is decoded in platform/conventions.py, kept by routing/rest_time.py for each host and incarnation, and checked on choosing a target and again right before the first byte. Owners that rest: the caller is told at once when to come back. Pools: another target, without a retry. After a rest one request goes first. The leader moves the keys of targets that rest for a second or more, unless more than a quarter of the service's targets do. In the own target protocol the field is Goldcrest-Rest-Ms; the coordinator keeps to it.

--- a/src/goldcrestproxy/control/key_planner.py
+++ b/src/goldcrestproxy/control/key_planner.py
@@ -35,6 +35,11 @@
 FREE_BLOCK_S_MAX: ty.Final = 0.6
 # Below this share of warm targets, cold targets own keys too.
 WARM_SHARE_MIN: ty.Final = 0.5
+# Keys of a target that rests for at least this long move to others.
+MOVING_REST_MS: ty.Final = 1_000
+# Unless more than this share of a service's targets rest: the others could
+# not take their load.
+RESTING_SHARE_MAX: ty.Final = 0.25
 # Maximum blocks of a service per target, including the results of splits.
 BLOCKS_PER_TARGET_MAX: ty.Final = 60
 # A plan is recomputed at this age, or at the lower one after the registry has
@@ -75,6 +80,7 @@
         self._free_since_s: dict[str, dict[int, float]] = {}
         self._demands: dict[str, demand.KeyDemand] = {}
         self._work_times: dict[tuple[str, int], demand.TargetWorkTime] = {}
+        self._rests_until_s: dict[tuple[str, int], float] = {}
         self._last_registration_s = 0.0
         # Creation time of the plan used for the last splits, by service.
         self._split_plan_created_s: dict[str, float] = {}
@@ -153,6 +159,11 @@
                 key, demand.TargetWorkTime()
             )
             work_time.record(observation.work_ms, observation.answers, now_s)
+        for rest in report.rests or ():
+            if rest.rest_ms >= MOVING_REST_MS:
+                self._rests_until_s[rest.target, rest.incarnation] = (
+                    now_s + rest.rest_ms / 1000
+                )
         for block in report.blocks or ():
             self.demand_of(block.service_name).count(
                 block.first_key, block.requests, now_s
@@ -212,11 +223,28 @@
             if self._registry.is_eligible(target)
             and self._views.is_tracked(target.target)
         ]
+        eligible = self._without_resting(eligible)
         warm = [t for t in eligible if not self._views.is_cold(t.target)]
         return (
             warm if len(warm) >= WARM_SHARE_MIN * len(eligible) else eligible
         )
 
+    def _without_resting(
+        self, targets: list[registry.RegisteredTarget]
+    ) -> list[registry.RegisteredTarget]:
+        """Return the targets that do not rest, all if too many rest."""
+        now_s = self._replica.clock()
+        for key, until_s in list(self._rests_until_s.items()):
+            if until_s <= now_s:
+                del self._rests_until_s[key]
+        awake = [
+            target
+            for target in targets
+            if (target.target, target.incarnation) not in self._rests_until_s
+        ]
+        resting = len(targets) - len(awake)
+        return targets if resting > RESTING_SHARE_MAX * len(targets) else awake
+
     def overdue(self, service: str, free: list[int]) -> list[int]:
         """Return the blocks that have been free for over FREE_BLOCK_S_MAX."""
         now_s = self._replica.clock()
--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -14,6 +14,7 @@
 
 # Broken runs per report; a larger number indicates a network failure.
 BROKEN_RUNS_MAX: ty.Final = 50
+REPORTED_REST_MS_MAX: ty.Final = 3_600_000
 
 
 @attrs.define
@@ -45,6 +46,7 @@
         self._broken_runs: list[wire.ttypes.BrokenRun] = []
         self._cleared: set[str] = set()
         self._limits: dict[tuple[str, int], _LimitReport] = {}
+        self._rests_ms: dict[tuple[str, int], float] = {}
 
     def count_request(self, service: str, block: int) -> None:
         """Count a request for a key in a block."""
@@ -103,6 +105,13 @@
         """Record that a target has answered a request under suspicion."""
         self._cleared.add(fingerprint)
 
+    def record_rest(
+        self, target: str, incarnation: int, rest_ms: float
+    ) -> None:
+        """Record that a target wants no requests from a host for a time."""
+        key = target, incarnation
+        self._rests_ms[key] = max(rest_ms, self._rests_ms.get(key, 0.0))
+
     def merge(self, request: wire.ttypes.WatchRequest) -> None:
         """Add the measurements reported by another host."""
         for observation in request.observations or ():
@@ -115,6 +124,8 @@
             self._blocks[block.service_name, block.first_key] += block.requests
         self._broken_runs.extend(request.broken or ())
         self._cleared.update(request.cleared or ())
+        for rest in request.rests or ():
+            self.record_rest(rest.target, rest.incarnation, rest.rest_ms)
         for limit in request.limits or ():
             if limit.limit_per_s is not None or limit.withdrawn:
                 self.record_limit(
@@ -184,6 +195,15 @@
             for (target, incarnation), report in self._limits.items()
         ]
         self._limits = {}
+        request.rests = [
+            wire.ttypes.TargetRest(
+                target=target,
+                incarnation=incarnation,
+                rest_ms=int(min(rest_ms, REPORTED_REST_MS_MAX)),
+            )
+            for (target, incarnation), rest_ms in self._rests_ms.items()
+        ]
+        self._rests_ms = {}
         request.cleared = sorted(self._cleared)
         self._cleared = set()
         self._blocks.clear()
--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -19,7 +19,9 @@
 from goldcrestproxy.routing import concurrency
 from goldcrestproxy.routing import rates
 from goldcrestproxy.routing import request_limits
+from goldcrestproxy.routing import rest_time
 from goldcrestproxy import targets
+from goldcrestproxy.targets import protocol
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -27,6 +29,8 @@
 GRANT_WAIT_S: ty.Final = 1.5
 CRASH_WINDOW_S: ty.Final = 3.0
 CANCEL_TIMEOUT_MS: ty.Final = 200
+# After a rest, other requests wait this long for the answer to the first.
+REST_PROBE_S: ty.Final = 1.0
 # A reused connection that is silent for longer is replaced by a new one.
 SILENCE_MS_MIN: ty.Final = 300.0
 SILENCE_RATIO: ty.Final = 10.0
@@ -65,8 +69,9 @@
         self.handing_over = False
         self.in_flight = in_flight.InFlight()
         request_limit = request_limits.RequestLimit()
+        self._rest = rest_time.RestTime()
         self.admission = admission.Admission(
-            limit, queue_requests_max, clock, request_limit
+            limit, queue_requests_max, clock, request_limit, self._rest
         )
         self.slot_rates = rates.RateMeter()
         self.hot_keys = rates.HotKeySketch()
@@ -282,6 +287,11 @@
                 )
                 await self._transfer(exchange, transfer, None)
         except targets.TransferError as error:
+            not_sent = error.stage is targets.Stage.NOT_SENT
+            if not_sent and not self._rest.may_send(self._clock()):
+                raise refusals.after_run(
+                    self.admission.rest_refusal(), may_have_run=may_have_run
+                ) from error
             self._handle_transfer_error(error, request, fingerprint)
             refusal = refusals.refusal_of(error, self.target)
             raise refusals.after_run(
@@ -308,6 +318,7 @@
                 if not transfer.head.done() and transfer.reused:
                     raise SilentConnectionError(self.target)
                 head = await transfer.head
+                self._record_rest(head)
                 body_bytes = refusals.check_head(
                     request, head, self.target, self.limit.reset_to_cold
                 )
@@ -318,6 +329,17 @@
                 await transfer_task
         self._record_duration(request, (answered_s - sent_s) * 1000)
 
+    def _record_rest(self, head: targets.AnswerHead) -> None:
+        """Apply the rest that a target asks for, or note that it is over."""
+        now_s = self._clock()
+        self._rest.record_answer(now_s)
+        rest_ms = protocol.read_rest_ms(head.headers)
+        if rest_ms <= 0:
+            return
+        LOG.info("entries: %s asks for %d ms of rest", self.target, rest_ms)
+        self._rest.record_request_to_rest(rest_ms, now_s)
+        self.admission.refuse_resting()
+
     def _silence_timeout_s(
         self, request: wire.ttypes.RelayRequest
     ) -> float | None:
@@ -355,7 +377,9 @@
                 return False
             if self._link.state.quarantine.is_quarantined(fingerprint):
                 return False
-            return owned is None or self.agent.is_usable(owned)
+            if owned is not None and not self.agent.is_usable(owned):
+                return False
+            return self._rest.take(now_s, REST_PROBE_S)
 
         has_body = request.body_bytes != 0
         left_ms = max(1, int((deadline_s - self._clock()) * 1000))
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -314,10 +314,21 @@
             target,
             idempotent=state.route.idempotent,
             deadline_s=state.deadline_s,
-            is_allowed=lambda: not self._suspects.is_quarantined(state),
+            is_allowed=lambda: self._may_send(state, target),
             on_sent=sent,
         )
 
+    def _may_send(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> bool:
+        """Whether a request may go to a target, right before it is sent."""
+        now_s = self._clock()
+        return not self._suspects.is_quarantined(state) and target.rest.take(
+            now_s, target.stats.overdue_ms(now_s) / 1000
+        )
+
     def _mark_if_misdirected(
         self,
         state: dispatch_state.DispatchState,
@@ -546,13 +557,35 @@
                 f"owner {owner.name} of key {key} does not answer",
                 LOST_OWNER_RETRY_AFTER_MS,
             )
+        if not owner.rest.may_send(self._clock()):
+            raise self._rest_refusal(state, [owner])
         return owner
 
+    def _rest_refusal(
+        self,
+        state: dispatch_state.DispatchState,
+        resting: list[fleet_map.TrackedTarget],
+    ) -> errors.RefusedError:
+        """Return the refusal of a request whose targets all rest."""
+        now_s = self._clock()
+        retry_after_ms = min(
+            target.rest.retry_after_ms(now_s) for target in resting
+        )
+        return self._not_run_refusal(
+            state,
+            results.OVERLOADED,
+            f"target {resting[0].name} asked for rest",
+            retry_after_ms,
+        )
+
     def _choose_from_pool(
         self, state: dispatch_state.DispatchState
     ) -> fleet_map.TrackedTarget:
         pool = self._fleet.available_targets(state.service)
-        pool = [t for t in pool if not self._is_unreached(t)] or pool
+        awake = [t for t in pool if t.rest.may_send(self._clock())]
+        if pool and not awake:
+            raise self._rest_refusal(state, pool)
+        pool = [t for t in awake if not self._is_unreached(t)] or awake
         untried = [t for t in pool if t.name not in state.sent_to]
         candidates = self._with_room(untried) or self._with_room(pool) or pool
         chosen = target_choice.choose_from_pool(
@@ -622,14 +655,16 @@
                 case fleet_retries.NotRun():
                     pass
         match last:
-            case fleet_retries.NotRun(text=text, refused=refused):
+            case fleet_retries.NotRun(
+                text=text, refused=refused, rest_ms=rest_ms
+            ):
                 code = (
                     results.TARGET_REFUSED
                     if refused
                     else results.TARGET_UNREACHABLE
                 )
                 return self._not_run_refusal(
-                    state, code, text, SHED_RETRY_AFTER_MS
+                    state, code, text, max(SHED_RETRY_AFTER_MS, int(rest_ms))
                 )
             case _:
                 return results.refusal(results.INTERNAL, "no failure")
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -16,6 +16,7 @@
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
 from goldcrestproxy.routing import request_limits
+from goldcrestproxy.routing import rest_time
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy import wire
@@ -68,6 +69,7 @@
     request_limit: request_limits.RequestLimit = attrs.field(
         factory=request_limits.RequestLimit
     )
+    rest: rest_time.RestTime = attrs.field(factory=rest_time.RestTime)
 
     @property
     def name(self) -> str:
--- a/src/goldcrestproxy/entries/refusals.py
+++ b/src/goldcrestproxy/entries/refusals.py
@@ -84,7 +84,7 @@
     raise results.refusal(
         results.TARGET_REFUSED,
         f"{target} did not run it: {reason or 'no reason given'}",
-        SHED_RETRY_AFTER_MS,
+        max(SHED_RETRY_AFTER_MS, protocol.read_rest_ms(head.headers)),
     )
 
 
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -189,6 +189,7 @@
         if metadata.load is not None:
             target.stats.record_load(metadata.load, now_s)
         self._record_limit(target, metadata.limit_per_s, now_s)
+        self._record_rest(target, metadata.rest_ms, now_s)
         body, complete = await self._read_start(transfer)
         answer = fleet_request.FleetAnswer(
             status=head.status,
@@ -206,6 +207,7 @@
                     refused=True,
                     full=metadata.load is not None
                     and metadata.load.running >= metadata.load.slots,
+                    rest_ms=metadata.rest_ms,
                 )
             )
         duration_ms = (now_s - started_s - transfer.queued_s) * 1000
@@ -240,6 +242,27 @@
                 limit_per_s=target.request_limit.limit_per_s,
             )
 
+    def _record_rest(
+        self, target: fleet_map.TrackedTarget, rest_ms: float, now_s: float
+    ) -> None:
+        """Apply the rest that a target asks for, or note that it is over."""
+        rested = now_s < target.rest.until_s
+        target.rest.record_answer(now_s)
+        if rest_ms <= 0:
+            return
+        target.rest.record_request_to_rest(rest_ms, now_s)
+        self._observations.record_rest(
+            target.name, target.record.incarnation, rest_ms
+        )
+        if not rested:
+            telemetry.log_event(
+                LOG,
+                "entries: a target asks for rest",
+                target=target.name,
+                incarnation=target.record.incarnation,
+                rest_ms=rest_ms,
+            )
+
     async def _read_start(
         self, transfer: targets.Transfer
     ) -> tuple[bytes, bool]:
--- a/src/goldcrestproxy/platform/conventions.py
+++ b/src/goldcrestproxy/platform/conventions.py
@@ -21,6 +21,7 @@
 # Status with which a target rejects a request because it does not own the
 # key or is not the expected target.
 STATUS_MISDIRECTED: ty.Final = 421
+STATUS_TURNED_AWAY: ty.Final = 503
 SLOWDOWN_PERCENT_DEFAULT: ty.Final = 100
 
 _HOP_BY_HOP_HEADERS: ty.Final = frozenset(
@@ -46,7 +47,7 @@
 _LOAD_PATTERN: ty.Final = re.compile(
     r"\s*(\d{1,9}),(\d{1,9}),(\d{1,9})(?:,(\d{1,9}))?\s*"
 )
-_LIMIT_PATTERN: ty.Final = re.compile(r"\s*(\d{1,9}(?:\.\d{0,9})?)\s*")
+_NUMBER_PATTERN: ty.Final = re.compile(r"\s*(\d{1,9}(?:\.\d{0,9})?)\s*")
 
 
 class PlatformHeaders:
@@ -85,7 +86,8 @@
             not_run=misdirected or NOT_RUN in headers,
             misdirected=misdirected,
             load=read_load(headers.get(LOAD, "")),
-            limit_per_s=read_limit(headers.get(LIMIT, "")),
+            limit_per_s=read_number(headers.get(LIMIT, "")),
+            rest_ms=read_rest_ms(status, headers.get(RETRY_AFTER, "")),
         )
 
     def caller_headers(
@@ -111,12 +113,25 @@
     )
 
 
-def read_limit(value: str) -> float | None:
-    """Return a target's limit in requests per second, None if malformed."""
-    match = _LIMIT_PATTERN.fullmatch(value)
+def read_number(value: str) -> float | None:
+    """Return a number that is not negative, None if malformed."""
+    match = _NUMBER_PATTERN.fullmatch(value)
     return None if match is None else float(match.group(1))
 
 
+def read_rest_ms(status: int, value: str) -> float:
+    """Return how long a target wants no requests from this host.
+
+    Only seconds are read, with fractions; dates and malformed values count
+    as no rest.
+
+    :param value: of the header ``Retry-After``, empty without one
+    """
+    if status != STATUS_TURNED_AWAY:
+        return 0.0
+    return (read_number(value) or 0.0) * 1000
+
+
 def read_load(value: str) -> target_choice.LoadReport | None:
     """Return a target's load report, or None if missing or malformed."""
     match = _LOAD_PATTERN.fullmatch(value)
--- a/src/goldcrestproxy/routing/admission.py
+++ b/src/goldcrestproxy/routing/admission.py
@@ -19,6 +19,7 @@
 from goldcrestproxy import results
 from goldcrestproxy.routing import concurrency
 from goldcrestproxy.routing import request_limits
+from goldcrestproxy.routing import rest_time
 
 RETRY_AFTER_MS_MIN: ty.Final = 50
 RETRY_AFTER_MS_MAX: ty.Final = 5_000
@@ -51,6 +52,7 @@
         queue_requests_max: int,
         clock: ty.Callable[[], float],
         request_limit: request_limits.RequestLimit | None = None,
+        rest: rest_time.RestTime | None = None,
     ) -> None:
         """Create an idle queue.
 
@@ -58,8 +60,10 @@
         :param queue_requests_max: requests that may wait
         :param clock: returns monotonic time in seconds
         :param request_limit: requests per second that the target takes
+        :param rest: time in which the target wants no requests
         """
         self._request_limit = request_limit or request_limits.RequestLimit()
+        self._rest = rest or rest_time.RestTime()
         self.limit = limit
         self.running = 0
         self._queue_requests_max = queue_requests_max
@@ -78,11 +82,14 @@
     async def acquire(self, request: AdmissionRequest) -> None:
         """Wait until the request may run; ``release`` must follow.
 
-        :raises RefusedError: immediately when the target's request rate is
-            used up, the queue is full or the request would complete too late,
-            when its deadline passes in the queue, and when the target has
-            named a lower limit by the time when it could run
+        :raises RefusedError: immediately when the target rests, its request
+            rate is used up, the queue is full or the request would complete
+            too late, when its deadline passes in the queue, and when the
+            target rests or has named a lower limit by the time when it could
+            run
         """
+        if not self._rest.may_send(self._clock()):
+            raise self.rest_refusal()
         if not self._has_room(self._waiting_count):
             raise self._rate_refusal(self._waiting_count)
         if not self._waiting_count and self.running < self.limit.allowed:
@@ -114,6 +121,9 @@
             waiter = self._pop()
             if waiter.ready.done():
                 continue
+            if not self._rest.may_send(self._clock()):
+                waiter.ready.set_exception(self.rest_refusal())
+                continue
             if not self._has_room():
                 waiter.ready.set_exception(self._rate_refusal())
                 continue
@@ -127,6 +137,22 @@
             if not waiter.ready.done():
                 waiter.ready.set_exception(results.refusal(code, text))
 
+    def rest_refusal(self) -> errors.RefusedError:
+        """Return the refusal of a request for a target that rests."""
+        return results.refusal(
+            results.OVERLOADED,
+            "the target asked for rest",
+            max(RETRY_AFTER_MS_MIN, self._rest.retry_after_ms(self._clock())),
+        )
+
+    def refuse_resting(self) -> None:
+        """Refuse all waiting requests, as the target rests."""
+        refusal = self.rest_refusal()
+        while self._waiting_count:
+            waiter = self._pop()
+            if not waiter.ready.done():
+                waiter.ready.set_exception(refusal)
+
     def expected_wait_ms(self, operation: str) -> float:
         """Estimate how long a request that arrives now would wait."""
         baseline_ms = self.limit.baseline_ms(operation)
--- a/src/goldcrestproxy/routing/fleet_retries.py
+++ b/src/goldcrestproxy/routing/fleet_retries.py
@@ -12,13 +12,15 @@
     """The target rejected the request without running it, or never got it.
 
     ``misdirected`` means that the target does not own the key or is not the
-    expected one, ``full`` that its queue was full.
+    expected one, ``full`` that its queue was full. ``rest_ms`` is how long it
+    wants no requests from this host.
     """
 
     text: str
     misdirected: bool = False
     refused: bool = False
     full: bool = False
+    rest_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -65,9 +67,9 @@
     if attempts >= attempts_max:
         return False
     match failure:
-        case NotRun(full=full):
+        case NotRun(full=full, rest_ms=rest_ms):
             # The owner's queue is not expected to shorten in time.
-            retryable = not (keyed and full)
+            retryable = not (keyed and (full or rest_ms > 0))
         case MaybeRun(timed_out=timed_out):
             retryable = idempotent and not timed_out
         case Failed(status=status):
--- a/src/goldcrestproxy/routing/target_choice.py
+++ b/src/goldcrestproxy/routing/target_choice.py
@@ -122,9 +122,13 @@
         work_ms = self.work_ms * self.slowdown
         return work_ms + self.expected_wait_ms(now_s)
 
+    def overdue_ms(self, now_s: float) -> float:
+        """Return the time after which an answer is far later than expected."""
+        return OVERDUE_RATIO * self.expected_ms(now_s)
+
     def is_overdue(self, waited_ms: float, now_s: float) -> bool:
         """Whether an answer is far later than expected."""
-        return waited_ms > OVERDUE_RATIO * self.expected_ms(now_s)
+        return waited_ms > self.overdue_ms(now_s)
 
     @property
     def answer_ms_min(self) -> float:
--- a/src/goldcrestproxy/targets/conventions.py
+++ b/src/goldcrestproxy/targets/conventions.py
@@ -50,9 +50,12 @@
     not run it. ``misdirected`` means that the target does not own the key or
     is not the expected target. ``limit_per_s`` is the rate of requests that
     the target takes from all hosts together, None if it names none.
+    ``rest_ms`` is how long it wants no requests from this host, 0 if it does
+    not say so.
     """
 
     not_run: bool
     misdirected: bool
     load: target_choice.LoadReport | None
     limit_per_s: float | None = None
+    rest_ms: float = 0.0
--- a/src/goldcrestproxy/targets/protocol.py
+++ b/src/goldcrestproxy/targets/protocol.py
@@ -26,9 +26,11 @@
 DEADLINE_MS: ty.Final = "Goldcrest-Deadline-Ms"
 OUTCOME: ty.Final = "Goldcrest-Outcome"
 REASON: ty.Final = "Goldcrest-Reason"
+REST_MS: ty.Final = "Goldcrest-Rest-Ms"
 TRACE_PARENT: ty.Final = "Traceparent"
 
 NAME_BYTES_MAX: ty.Final = 128
+REST_DIGITS_MAX: ty.Final = 9
 
 
 def _validate_name(_: ty.Any, attribute: ty.Any, value: str) -> None:
@@ -104,6 +106,18 @@
         raise results.refusal(results.BAD_ANNOUNCEMENT, str(error)) from error
 
 
+def read_rest_ms(headers: ty.Mapping[str, str]) -> int:
+    """Return how long a target that ran nothing wants no requests.
+
+    0 without the header, with a malformed one, and for a request that ran.
+    """
+    value = headers.get(REST_MS, "")
+    not_run = headers.get(OUTCOME, "").lower() == "not-run"
+    if not not_run or not value.isdecimal() or len(value) > REST_DIGITS_MAX:
+        return 0
+    return int(value)
+
+
 @attrs.frozen(kw_only=True)
 class GrantOrder:
     """The complete set of slots that a target owns.
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -232,6 +232,13 @@
 }
 
 /** A daemon follows the replicated state without holding a lease. */
+/** A target that wants no requests from a host for a time. */
+struct TargetRest {
+  1: string target,
+  2: i64 incarnation,
+  3: i32 rest_ms,
+}
+
 /** An entry host that sends requests on behalf of others. */
 struct EntryHost {
   1: string host,
@@ -260,6 +267,7 @@
   14: optional bool takes_requests,
   /** Entry hosts that the asking control host feeds. */
   15: optional list<EntryHost> entry_host_list,
+  16: optional list<TargetRest> rests,
 }
 
 struct WatchReply {
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -281,4 +281,4 @@
     ],
 )
 def test_limits_of_targets_are_decimal_numbers(value, limit_per_s):
-    assert conventions.read_limit(value) == limit_per_s
+    assert conventions.read_number(value) == limit_per_s
--- a/tests/stand_in_target.py
+++ b/tests/stand_in_target.py
@@ -38,6 +38,8 @@
         self.service_ms = options.service_ms
         self.leaving = False
         self.limit_per_s = None
+        # Until then, it turns requests away and asks for rest.
+        self.rest_until_s = 0.0
         self.silent = False
         # Requests beyond the slots wait inside the target.
         self.slot_semaphore = asyncio.Semaphore(options.slots)
@@ -148,6 +150,8 @@
         target.service_ms = value.get("service_ms", target.service_ms)
         target.leaving = value.get("leaving", target.leaving)
         target.limit_per_s = value.get("limit_per_s", target.limit_per_s)
+        if "rest_s" in value:
+            target.rest_until_s = time.monotonic() + value["rest_s"]
         if value.get("turn_cold"):
             target.completed = 0
         self.write({"running_max": target.running_max})
@@ -162,6 +166,14 @@
         # The process may be stopped between the check and the record, so a
         # run is recorded with the time for which its grant was checked.
         now_s = time.monotonic()
+        rest_s = target.rest_until_s - now_s
+        if rest_s > 0:
+            self.set_status(503)
+            self.set_header("Goldcrest-Outcome", "not-run")
+            self.set_header("Goldcrest-Reason", "shed")
+            self.set_header("Goldcrest-Rest-Ms", str(int(rest_s * 1000)))
+            target.record("away", now_s, request_id=request_id, rest_s=rest_s)
+            return
         reason = target.refusal_reason(headers, now_s)
         if reason is not None:
             self.set_status(503)
--- a/tests/system/test_resting_targets.py
+++ b/tests/system/test_resting_targets.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+import cluster as clusters
 import fleet as fleets
 import pytest
 
@@ -31,7 +32,7 @@
 @pytest.fixture
 def fleet(tmp_path, kind):
     new_fleet = fleets.Fleet(tmp_path, entry_count=ENTRY_HOSTS)
-    service, method, path = KINDS[kind]
+    service = KINDS[kind][0]
     try:
         new_fleet.start()
         status, _ = new_fleet.send_operator_request(
@@ -159,3 +160,47 @@
     # Its keys have moved, so all requests are served.
     last = [status for at_s, status, _, _ in answers if at_s > left_s + 3.0]
     assert last.count(200) >= 0.98 * len(last)
+
+
+@pytest.mark.parametrize("desk", ["pitches", "photos"])
+def test_a_coordinated_target_that_asks_for_rest_gets_it(cluster, desk):
+    for number, zone in enumerate(("zone-a", "zone-b")):
+        cluster.add_target(f"{desk}-{number}", desk, zone)
+    cluster.wait_in_service(desk)
+    started_s = time.monotonic()
+
+    def send(number):
+        host = cluster.entry_hosts[number % len(cluster.entry_hosts)]
+        answers = []
+        while time.monotonic() < started_s + REST_S + 3.0:
+            key = f"p{len(answers) % 40}"
+            answers.append(
+                clusters.fetch(
+                    f"{host.caller_url}/kisvaros/{desk}/{desk}/{key}",
+                    *(("POST", b"x") if desk == "pitches" else ()),
+                )
+            )
+            time.sleep(INTERVAL_S)
+        return answers
+
+    with concurrent.futures.ThreadPoolExecutor(SENDERS) as pool:
+        sending = [pool.submit(send, number) for number in range(SENDERS)]
+        time.sleep(1.0)
+        cluster.control_target(f"{desk}-0", rest_s=REST_S)
+        answers = list(
+            itertools.chain(*(future.result() for future in sending))
+        )
+    away = cluster.runs("away")
+    assert away
+    # All requests of a target come from its coordinator.
+    late = [a for a in away if a["time_s"] > away[0]["time_s"] + REST_GRACE_S]
+    assert len(late) <= REST_REQUESTS_MAX
+    assert [answer.status for answer in answers].count(200) > len(answers) / 4
+    refused = [answer for answer in answers if answer.status != 200]
+    assert {answer.outcome for answer in refused} <= {"not-run"}
+    assert all(float(a.headers["Retry-After"]) > 0 for a in refused)
+    runs = cluster.runs()
+    over_s = away[0]["time_s"] + away[0]["rest_s"]
+    assert any(
+        run["target"] == f"{desk}-0" and run["time_s"] > over_s for run in runs
+    )
