Bind a host at once to an answer that says its target leaves

Cause: the header was not read; leaving was known from heartbeats alone.

It is decoded in platform/conventions.py and kept for each incarnation. The host reports it, the leader registers the target as leaving, and no later heartbeat of that incarnation takes it back.

--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -47,6 +47,7 @@
         self._cleared: set[str] = set()
         self._limits: dict[tuple[str, int], _LimitReport] = {}
         self._rests_ms: dict[tuple[str, int], float] = {}
+        self._leaving: set[tuple[str, int]] = set()
 
     def count_request(self, service: str, block: int) -> None:
         """Count a request for a key in a block."""
@@ -112,6 +113,10 @@
         key = target, incarnation
         self._rests_ms[key] = max(rest_ms, self._rests_ms.get(key, 0.0))
 
+    def record_leaving(self, target: str, incarnation: int) -> None:
+        """Record that a target's answer said that it leaves."""
+        self._leaving.add((target, incarnation))
+
     def merge(self, request: wire.ttypes.WatchRequest) -> None:
         """Add the measurements reported by another host."""
         for observation in request.observations or ():
@@ -124,6 +129,7 @@
             self._blocks[block.service_name, block.first_key] += block.requests
         self._broken_runs.extend(request.broken or ())
         self._cleared.update(request.cleared or ())
+        self._merge_leaving(request)
         for rest in request.rests or ():
             self.record_rest(rest.target, rest.incarnation, rest.rest_ms)
         for limit in request.limits or ():
@@ -143,6 +149,11 @@
         free = max(0, BROKEN_RUNS_MAX - len(self._broken_runs))
         self._broken_runs.extend((request.broken or ())[:free])
         self._cleared.update(request.cleared or ())
+        self._merge_leaving(request)
+
+    def _merge_leaving(self, request: wire.ttypes.WatchRequest) -> None:
+        for process in request.leaving or ():
+            self.record_leaving(process.target, process.incarnation)
 
     def repeat_runs(self) -> None:
         """Report recent broken runs again, to another host.
@@ -204,6 +215,11 @@
             for (target, incarnation), rest_ms in self._rests_ms.items()
         ]
         self._rests_ms = {}
+        request.leaving = [
+            wire.ttypes.TargetProcess(target=target, incarnation=incarnation)
+            for target, incarnation in sorted(self._leaving)
+        ]
+        self._leaving = set()
         request.cleared = sorted(self._cleared)
         self._cleared = set()
         self._blocks.clear()
--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -302,6 +302,12 @@
     async def _register(self, heartbeat: registry.Heartbeat) -> None:
         """Commit the registration if the heartbeat changes it."""
         registered = self._registry.targets.get(heartbeat.target)
+        # Its answers to requests may have said so before its heartbeats do.
+        already_leaving = (
+            registered is not None
+            and registered.incarnation == heartbeat.incarnation
+            and registered.leaving
+        )
         registration = registry.RegisterTarget(
             target=heartbeat.target,
             incarnation=heartbeat.incarnation,
@@ -309,7 +315,7 @@
             zone=heartbeat.zone,
             address=heartbeat.address,
             slots=heartbeat.slots,
-            leaving=heartbeat.leaving,
+            leaving=heartbeat.leaving or already_leaving,
             cold_ms=heartbeat.cold_ms,
         )
         if registered is not None and not _differs(registered, registration):
--- a/src/goldcrestproxy/control/target_losses.py
+++ b/src/goldcrestproxy/control/target_losses.py
@@ -37,6 +37,8 @@
         self._heartbeat_s = heartbeat_s
         self._broken_runs = broken_runs.BrokenRuns()
         self._cleared: set[str] = set()
+        # Processes of targets whose answers said that they leave.
+        self._leaving: set[tuple[str, int]] = set()
 
     @property
     def _registry(self) -> registry.RegistryState:
@@ -50,6 +52,10 @@
                 run.target, run.incarnation, run.fingerprint, now_s
             )
         self._cleared.update(report.cleared or ())
+        self._leaving.update(
+            (process.target, process.incarnation)
+            for process in report.leaving or ()
+        )
 
     def due_commands(self, now_s: float) -> list[commands.Command]:
         """Return the commands due for losses, ended holds and answers."""
@@ -58,6 +64,7 @@
             *self._crash_reports(),
             *self._ended_holds(now_s),
             *self._releases(),
+            *self._leaving_targets(),
         ]
 
     def _releases(self) -> list[commands.Command]:
@@ -69,6 +76,29 @@
             if fingerprint in self._replica.state.quarantine.crashes
         ]
 
+    def _leaving_targets(self) -> list[commands.Command]:
+        """Register as leaving the targets whose answers say so."""
+        proposals: list[commands.Command] = []
+        for name, incarnation in sorted(self._leaving):
+            target = self._registry.targets.get(name)
+            if target is None or target.incarnation != incarnation:
+                self._leaving.discard((name, incarnation))
+            elif target.accepts_work:
+                LOG.info("registry: an answer of %s says that it leaves", name)
+                proposals.append(
+                    registry.RegisterTarget(
+                        target=name,
+                        incarnation=incarnation,
+                        service=target.service,
+                        zone=target.zone,
+                        address=target.address,
+                        slots=target.slots,
+                        leaving=True,
+                        cold_ms=target.cold_ms,
+                    )
+                )
+        return proposals
+
     def crashes_implied_by(
         self, registration: registry.RegisterTarget
     ) -> list[commands.Command]:
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -325,9 +325,12 @@
     ) -> bool:
         """Whether a request may go to a target, right before it is sent."""
         now_s = self._clock()
-        return not self._suspects.is_quarantined(state) and target.rest.take(
-            now_s, target.stats.overdue_ms(now_s) / 1000
-        )
+        keyed = self._is_keyed(state.service)
+        if self._suspects.is_quarantined(state) or target.has_left(
+            now_s, keyed=keyed
+        ):
+            return False
+        return target.rest.take(now_s, target.stats.overdue_ms(now_s) / 1000)
 
     def _mark_if_misdirected(
         self,
@@ -557,6 +560,13 @@
                 f"owner {owner.name} of key {key} does not answer",
                 LOST_OWNER_RETRY_AFTER_MS,
             )
+        if owner.has_left(self._clock(), keyed=True):
+            raise self._not_run_refusal(
+                state,
+                results.KEY_MOVING,
+                f"owner {owner.name} of key {key} leaves",
+                LOST_OWNER_RETRY_AFTER_MS,
+            )
         if not owner.rest.may_send(self._clock()):
             raise self._rest_refusal(state, [owner])
         return owner
@@ -582,7 +592,9 @@
         self, state: dispatch_state.DispatchState
     ) -> fleet_map.TrackedTarget:
         pool = self._fleet.available_targets(state.service)
-        awake = [t for t in pool if t.rest.may_send(self._clock())]
+        now_s = self._clock()
+        pool = [t for t in pool if not t.has_left(now_s, keyed=False)]
+        awake = [t for t in pool if t.rest.may_send(now_s)]
         if pool and not awake:
             raise self._rest_refusal(state, pool)
         pool = [t for t in awake if not self._is_unreached(t)] or awake
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -15,6 +15,7 @@
 from goldcrestproxy import errors
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import leaving
 from goldcrestproxy.routing import request_limits
 from goldcrestproxy.routing import rest_time
 from goldcrestproxy.routing import route_table
@@ -70,6 +71,12 @@
         factory=request_limits.RequestLimit
     )
     rest: rest_time.RestTime = attrs.field(factory=rest_time.RestTime)
+    # When an answer to this host first said that the target leaves.
+    leaving_s: float | None = None
+
+    def has_left(self, now_s: float, *, keyed: bool) -> bool:
+        """Whether it gets nothing more, by its answers to this host."""
+        return not leaving.may_send(self.leaving_s, now_s, keyed=keyed)
 
     @property
     def name(self) -> str:
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -190,6 +190,8 @@
             target.stats.record_load(metadata.load, now_s)
         self._record_limit(target, metadata.limit_per_s, now_s)
         self._record_rest(target, metadata.rest_ms, now_s)
+        if metadata.leaving:
+            self._record_leaving(target, now_s)
         body, complete = await self._read_start(transfer)
         answer = fleet_request.FleetAnswer(
             status=head.status,
@@ -242,6 +244,23 @@
                 limit_per_s=target.request_limit.limit_per_s,
             )
 
+    def _record_leaving(
+        self, target: fleet_map.TrackedTarget, now_s: float
+    ) -> None:
+        """Bind this host to a target's answer that it leaves."""
+        if target.leaving_s is not None:
+            return
+        target.leaving_s = now_s
+        self._observations.record_leaving(
+            target.name, target.record.incarnation
+        )
+        telemetry.log_event(
+            LOG,
+            "entries: a target's answer says that it leaves",
+            target=target.name,
+            incarnation=target.record.incarnation,
+        )
+
     def _record_rest(
         self, target: fleet_map.TrackedTarget, rest_ms: float, now_s: float
     ) -> None:
--- a/src/goldcrestproxy/platform/conventions.py
+++ b/src/goldcrestproxy/platform/conventions.py
@@ -18,6 +18,7 @@
 NOT_RUN: ty.Final = "Not-Executed"
 LOAD: ty.Final = "Server-Load"
 LIMIT: ty.Final = "Server-Limit"
+LEAVING: ty.Final = "Server-Leaving"
 # Status with which a target rejects a request because it does not own the
 # key or is not the expected target.
 STATUS_MISDIRECTED: ty.Final = 421
@@ -87,6 +88,7 @@
             misdirected=misdirected,
             load=read_load(headers.get(LOAD, "")),
             limit_per_s=read_number(headers.get(LIMIT, "")),
+            leaving=headers.get(LEAVING, "").strip() == "1",
             rest_ms=read_rest_ms(status, headers.get(RETRY_AFTER, "")),
         )
 
--- a/src/goldcrestproxy/targets/conventions.py
+++ b/src/goldcrestproxy/targets/conventions.py
@@ -51,7 +51,7 @@
     is not the expected target. ``limit_per_s`` is the rate of requests that
     the target takes from all hosts together, None if it names none.
     ``rest_ms`` is how long it wants no requests from this host, 0 if it does
-    not say so.
+    not say so. ``leaving`` means that it stops soon and wants no new work.
     """
 
     not_run: bool
@@ -59,3 +59,4 @@
     load: target_choice.LoadReport | None
     limit_per_s: float | None = None
     rest_ms: float = 0.0
+    leaving: bool = False
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -239,6 +239,12 @@
   3: i32 rest_ms,
 }
 
+/** A process of a target. */
+struct TargetProcess {
+  1: string target,
+  2: i64 incarnation,
+}
+
 /** An entry host that sends requests on behalf of others. */
 struct EntryHost {
   1: string host,
@@ -268,6 +274,8 @@
   /** Entry hosts that the asking control host feeds. */
   15: optional list<EntryHost> entry_host_list,
   16: optional list<TargetRest> rests,
+  /** Targets whose answers said that they leave. */
+  17: optional list<TargetProcess> leaving,
 }
 
 struct WatchReply {
