Split the dispatcher: selection, limits, refusals

dispatcher.py had several jobs. Selection of a target, the rates that targets allow and the refusals are classes of their own now, constructed in the composition root.

--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -267,6 +267,8 @@
         and link.current
         and not contact.is_cut_off(len(fleet.targets))
     )
+    refusals = entries.DispatchRefusals(rng)
+    suspects = entries.Suspects(fleet, refusals, clock)
     dispatcher = entries.Dispatcher(
         fleet,
         entries.Sender(
@@ -277,16 +279,25 @@
             clock,
         ),
         request_passing,
-        contact,
+        entries.TargetSelection(
+            fleet,
+            contact,
+            entries.TargetLimits(fleet, suspects, refusals, metrics, clock),
+            suspects,
+            refusals,
+            host_settings.zone,
+            clock,
+            rng,
+        ),
+        suspects,
+        refusals,
         fleet_retries.ServiceRetryBudgets(
             ratio=fleet_settings.resend_ratio * RETRY_RATIO_FACTOR,
             slack=fleet_settings.resend_slack * RETRY_SLACK_FACTOR,
             window_s=fleet_settings.resend_window_s,
         ),
-        host_settings.zone,
         metrics,
         clock,
-        rng,
     )
     caller_application = web.Application(
         [
--- a/src/goldcrestproxy/entries/__init__.py
+++ b/src/goldcrestproxy/entries/__init__.py
@@ -9,6 +9,7 @@
 from goldcrestproxy.entries.claims import Claimer
 from goldcrestproxy.entries.control_link import ControlLink
 from goldcrestproxy.entries.coordinator import Coordinator
+from goldcrestproxy.entries.dispatch_refusals import DispatchRefusals
 from goldcrestproxy.entries.dispatcher import Dispatcher
 from goldcrestproxy.entries.fleet_map import FleetMap
 from goldcrestproxy.entries.fleet_request import FleetAnswer
@@ -19,7 +20,10 @@
 from goldcrestproxy.entries.sending import Sender
 from goldcrestproxy.entries.state_watcher import StateWatcher
 from goldcrestproxy.entries.state_watcher import WatcherSettings
+from goldcrestproxy.entries.suspects import Suspects
+from goldcrestproxy.entries.target_limits import TargetLimits
 from goldcrestproxy.entries.target_prober import TargetProber
+from goldcrestproxy.entries.target_selection import TargetSelection
 
 __all__ = [
     "ActiveConfiguration",
@@ -28,6 +32,7 @@
     "Claimer",
     "ControlLink",
     "Coordinator",
+    "DispatchRefusals",
     "Dispatcher",
     "FleetAnswer",
     "FleetMap",
@@ -38,6 +43,9 @@
     "Router",
     "Sender",
     "StateWatcher",
+    "Suspects",
+    "TargetLimits",
     "TargetProber",
+    "TargetSelection",
     "WatcherSettings",
 ]
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -175,6 +175,11 @@
         """Return the targets of a service that may receive requests."""
         return self._by_service.get(service, [])
 
+    def is_keyed(self, name: str) -> bool:
+        """Whether a service is divided by key."""
+        service = self.services.get(name)
+        return service is not None and service.keyed
+
     def ownership(self, service: str, key: int) -> Ownership | None:
         """Return the owner of a key's block, None without a key space."""
         keyspace = self.registry.keyspaces.get(service)
--- a/src/goldcrestproxy/entries/suspects.py
+++ b/src/goldcrestproxy/entries/suspects.py
@@ -5,10 +5,12 @@
 import asyncio
 import typing as ty
 
+from goldcrestproxy.entries import dispatch_refusals
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import fleet_request
 from goldcrestproxy.entries import refusals
+from goldcrestproxy import errors
 from goldcrestproxy import results
 
 # A target that reports a failure may have been the second one that ran the
@@ -20,13 +22,17 @@
     """Refuses quarantined requests and reports those that are answered."""
 
     def __init__(
-        self, fleet: fleet_map.FleetMap, clock: ty.Callable[[], float]
+        self,
+        fleet: fleet_map.FleetMap,
+        request_refusals: dispatch_refusals.DispatchRefusals,
+        clock: ty.Callable[[], float],
     ) -> None:
         """Read crashes and quarantine from the replicated state.
 
         :param clock: monotonic time in seconds
         """
         self._fleet = fleet
+        self._refusals = request_refusals
         self._clock = clock
 
     async def refuse_quarantined(
@@ -35,10 +41,21 @@
         """Refuse a request that crashed targets, once its body is read.
 
         :raises RefusedError: for a quarantined request, or when its body
-            does not arrive within the deadline
+            does not arrive within the deadline; as not run, unless an
+            attempt may have run
         """
         if not self._fleet.quarantined:
             return
+        try:
+            await self._check_quarantine(state)
+        except errors.RefusedError as error:
+            if state.may_have_run:
+                raise self._refusals.final(state) from error
+            raise
+
+    async def _check_quarantine(
+        self, state: dispatch_state.DispatchState
+    ) -> None:
         try:
             async with asyncio.timeout(state.deadline_s - self._clock()):
                 await state.body.read_ahead()
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -132,6 +132,9 @@
     def clear_suspicion(self, fingerprint):
         self.cleared |= self.suspected & {fingerprint}
 
+    def is_keyed(self, name):
+        return self.services[name].keyed
+
     def available_targets(self, _service):
         return list(self.targets.values())
 
@@ -188,20 +191,34 @@
 
 
 def make_dispatcher(fleet, sender, request_passing=None, contact=None):
+    def clock():
+        return 1.0
+
     rng = random.Random(1)
+    metrics = telemetry.make_metrics(settings.Telemetry(), "test")
+    refusals = entries.DispatchRefusals(rng)
+    suspects = entries.Suspects(fleet, refusals, clock)
     return entries.Dispatcher(
         fleet,
         sender,
-        request_passing
-        or entries.RequestPassing(None, "zone-a", lambda: 1.0, rng),
-        contact or target_contact.TargetContact(),
+        request_passing or entries.RequestPassing(None, "zone-a", clock, rng),
+        entries.TargetSelection(
+            fleet,
+            contact or target_contact.TargetContact(),
+            entries.TargetLimits(fleet, suspects, refusals, metrics, clock),
+            suspects,
+            refusals,
+            "zone-a",
+            clock,
+            rng,
+        ),
+        suspects,
+        refusals,
         fleet_retries.ServiceRetryBudgets(
             ratio=0.1, slack=10.0, window_s=10.0
         ),
-        "zone-a",
-        telemetry.make_metrics(settings.Telemetry(), "test"),
-        lambda: 1.0,
-        rng,
+        metrics,
+        clock,
     )
 
 
