--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -316,7 +316,11 @@
                 return
             case _:
                 target.stats.record_failure(now_s)
-                if not transfer.answered:
+                # A connection that was just opened shows that the target is
+                # reached, whatever became of the request.
+                if not transfer.answered and (
+                    transfer.reused or transfer.stage is targets.Stage.NOT_SENT
+                ):
                     self._contact.record_failure(target.name)
 
     def _record_broken_run(
