Passing on: cancelled answers, long bodies and unexpected failures

A host kept a request in flight for good when the other host cancelled it while its answer waited for room. A body that was too long to be sent again would have been passed on from its middle after a host had declined it. A failure of the dispatcher left the other host waiting.

--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -215,6 +215,13 @@
         answer = await self._passing.pass_on(state, unreached)
         outcome = "declined" if answer is None else "answered"
         self._metrics.passed_on.add(1, {"outcome": outcome})
+        if answer is None and not state.body.replayable:
+            raise self._refusals.not_run(
+                state,
+                results.TARGET_OUT_OF_REACH,
+                "no entry host took it, and too much of its body is read",
+                dispatch_refusals.SHED_RETRY_AFTER_MS,
+            )
         return answer
 
     def _answer_at_stop(
--- a/src/goldcrestproxy/entries/passed_requests.py
+++ b/src/goldcrestproxy/entries/passed_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import typing as ty
 
 from goldcrestproxy.entries import fleet_request
@@ -10,6 +11,8 @@
 from goldcrestproxy import results
 from goldcrestproxy import wire
 
+LOG = logging.getLogger(__name__)
+
 # Values on the wire of a missing key, and of a body length that is not known.
 _NO_KEY: ty.Final = -1
 _NO_LENGTH: ty.Final = -2
@@ -63,8 +66,20 @@
         except errors.RefusedError as error:
             _refuse(exchange, error)
             return
+        except Exception as error:
+            LOG.exception(
+                "entries: request %s failed", exchange.request.request_id
+            )
+            exchange.fail(errors.GoldcrestProxyError(str(error)))
+            return
         if answer is None:
             return
+        # Otherwise an answer that nobody reads would wait for room.
+        exchange.on_cancel(
+            lambda: exchange.response_body.fail(
+                errors.WireError("the other entry host cancelled the request")
+            )
+        )
         exchange.set_response(_encode_head(answer))
         try:
             if answer.body:
--- a/src/goldcrestproxy/entries/passing.py
+++ b/src/goldcrestproxy/entries/passing.py
@@ -107,7 +107,10 @@
         :param target: name of the target, or of the pool's service
         :raises RefusedError: with the result of the host that took it
         """
-        while len(state.asked_hosts) < passing_on.ASKED_MAX:
+        while (
+            len(state.asked_hosts) < passing_on.ASKED_MAX
+            and state.body.replayable
+        ):
             neighbour = passing_on.choose_neighbour(
                 [
                     neighbour
--- a/src/goldcrestproxy/wire/relay.py
+++ b/src/goldcrestproxy/wire/relay.py
@@ -93,6 +93,8 @@
         while self._credit_bytes < size_bytes:
             if self._channel.closed:
                 raise errors.ChannelClosedError("channel closed in a body")
+            if self._exchange.cancelled:
+                raise errors.WireError("exchange cancelled in a body")
             self._credit_changed.clear()
             await self._credit_changed.wait()
         self._credit_bytes -= size_bytes
@@ -165,6 +167,7 @@
             case frames.FrameKind.CANCEL:
                 self._channel.remove_relay(self._stream_number)
                 self._exchange.cancel()
+                self._credit_changed.set()
             case _:
                 super().handle_frame(frame)
 
--- a/tests/entries/test_passing.py
+++ b/tests/entries/test_passing.py
@@ -9,7 +9,10 @@
 import pytest
 import test_dispatcher as dispatching
 
+from goldcrestproxy import callers
 from goldcrestproxy import entries
+from goldcrestproxy.entries import passed_requests
+from goldcrestproxy.entries import replay
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import fleet_retries
@@ -137,3 +140,78 @@
         dispatch(peers, outcomes=[failure])
     assert caught.value.code == results.OUTCOME_UNKNOWN
     assert peers.opened == []
+
+
+@pytest.mark.parametrize("cancelled_after_s", [0.0, 0.05])
+def test_a_cancelled_request_leaves_nothing_in_flight(cancelled_after_s):
+    gate = callers.Gate()
+    cancels = []
+
+    class EndlessDispatcher:
+        async def dispatch_passed(self, request, service):
+            body = wire.Pipe()
+            for _ in range(64):
+                body.feed(bytes(65536))
+            return entries.FleetAnswer(
+                status=200,
+                headers=(),
+                body=b"",
+                remaining_body=body,
+                cancel=lambda: cancels.append(request.request_id),
+            )
+
+    async def scenario():
+        request = passed_requests.encode(dispatching.REQUEST, "s", left_ms=400)
+        exchange = wire.Exchange(request)
+        serving = asyncio.create_task(
+            entries.PassedRequests(EndlessDispatcher(), gate).serve(exchange)
+        )
+        await asyncio.sleep(cancelled_after_s)
+        exchange.cancel()
+        await asyncio.wait_for(serving, 1.0)
+
+    asyncio.run(scenario())
+    assert gate.in_flight == 0
+    assert cancels in ([], ["r1"])
+
+
+def test_a_failure_of_the_dispatcher_ends_the_exchange():
+    class FailingDispatcher:
+        async def dispatch_passed(self, request, service):
+            raise ValueError("unexpected")
+
+    async def scenario():
+        exchange = wire.Exchange(
+            passed_requests.encode(dispatching.REQUEST, "s", left_ms=400)
+        )
+        gate = callers.Gate()
+        await entries.PassedRequests(FailingDispatcher(), gate).serve(exchange)
+        assert gate.in_flight == 0
+        with pytest.raises(errors.GoldcrestProxyError):
+            await exchange.response
+
+    asyncio.run(scenario())
+
+
+def test_a_body_that_cannot_be_sent_again_goes_to_no_second_host():
+    body = wire.Pipe()
+    peers = FakePeers()
+
+    async def read_and_decline(exchange):
+        read = 0
+        while read < replay.REPLAY_BYTES_MAX + 65536:
+            read += len(await exchange.request_body.read())
+        exchange.set_response(refused(results.STOPPING))
+
+    async def take_and_decline(address, exchange):
+        peers.opened.append(exchange)
+        tasks.append(asyncio.create_task(read_and_decline(exchange)))
+
+    tasks = []
+    peers.open = take_and_decline
+    for _ in range(20):
+        body.feed(bytes(65536))
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(peers, body=body, body_bytes=-1)
+    assert caught.value.code == results.TARGET_OUT_OF_REACH
+    assert len(peers.opened) == 1
