--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -12,11 +12,11 @@
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import fleet_request
 from goldcrestproxy.entries import replay
+from goldcrestproxy.entries import target_records
 from goldcrestproxy import errors
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy.routing import target_contact
 from goldcrestproxy import targets
-from goldcrestproxy import telemetry
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -66,6 +66,7 @@
         :param clock: monotonic time in seconds
         """
         self._observations = target_observations
+        self._records = target_records.TargetRecords(target_observations)
         self._contact = contact
         self._client = client
         self._conventions = conventions
@@ -152,7 +153,7 @@
                     transfer, target, failure, waited_s * 1000
                 )
             if transfer.started and not transfer.mismatched:
-                self._record_broken_run(target, request, body, failure)
+                self._records.record_broken_run(target, request, body, failure)
             raise SendError(failure) from error
         except SendError:
             raise
@@ -188,10 +189,10 @@
         now_s = self._clock()
         if metadata.load is not None:
             target.stats.record_load(metadata.load, now_s)
-        self._record_limit(target, metadata.limit_per_s, now_s)
-        self._record_rest(target, metadata.rest_ms, now_s)
+        self._records.record_limit(target, metadata.limit_per_s, now_s)
+        self._records.record_rest(target, metadata.rest_ms, now_s)
         if metadata.leaving:
-            self._record_leaving(target, now_s)
+            self._records.record_leaving(target, now_s)
         body, complete = await self._read_start(transfer)
         answer = fleet_request.FleetAnswer(
             status=head.status,
@@ -221,67 +222,6 @@
             raise SendError(fleet_retries.Failed(status=head.status), answer)
         return answer
 
-    def _record_limit(
-        self,
-        target: fleet_map.TrackedTarget,
-        limit_per_s: float | None,
-        now_s: float,
-    ) -> None:
-        """Apply the limit that the latest answer of a target named."""
-        previous_per_s = target.request_limit.limit_per_s
-        target.request_limit.record_answer(limit_per_s, now_s)
-        if limit_per_s is not None or previous_per_s is not None:
-            self._observations.record_limit(
-                target.name, target.record.incarnation, limit_per_s
-            )
-        if target.request_limit.limit_per_s != previous_per_s:
-            telemetry.log_event(
-                LOG,
-                "entries: limit of a target changed",
-                target=target.name,
-                incarnation=target.record.incarnation,
-                previous_per_s=previous_per_s,
-                limit_per_s=target.request_limit.limit_per_s,
-            )
-
-    def _record_leaving(
-        self, target: fleet_map.TrackedTarget, now_s: float
-    ) -> None:
-        """Bind this host to a target's answer that it leaves."""
-        if target.leaving_s is not None:
-            return
-        target.leaving_s = now_s
-        self._observations.record_leaving(
-            target.name, target.record.incarnation
-        )
-        telemetry.log_event(
-            LOG,
-            "entries: a target's answer says that it leaves",
-            target=target.name,
-            incarnation=target.record.incarnation,
-        )
-
-    def _record_rest(
-        self, target: fleet_map.TrackedTarget, rest_ms: float, now_s: float
-    ) -> None:
-        """Apply the rest that a target asks for, or note that it is over."""
-        rested = now_s < target.rest.until_s
-        target.rest.record_answer(now_s)
-        if rest_ms <= 0:
-            return
-        target.rest.record_request_to_rest(rest_ms, now_s)
-        self._observations.record_rest(
-            target.name, target.record.incarnation, rest_ms
-        )
-        if not rested:
-            telemetry.log_event(
-                LOG,
-                "entries: a target asks for rest",
-                target=target.name,
-                incarnation=target.record.incarnation,
-                rest_ms=rest_ms,
-            )
-
     async def _read_start(
         self, transfer: targets.Transfer
     ) -> tuple[bytes, bool]:
@@ -323,39 +263,6 @@
                 ):
                     self._contact.record_failure(target.name)
 
-    def _record_broken_run(
-        self,
-        target: fleet_map.TrackedTarget,
-        request: fleet_request.FleetRequest,
-        body: replay.ReplayableBody,
-        failure: fleet_retries.Failure,
-    ) -> None:
-        """Report a request that may have ended its target."""
-        match failure:
-            case fleet_retries.MaybeRun(timed_out=False):
-                fingerprint = request.fingerprint(body.digest)
-                self._observations.record_broken_run(
-                    target.name,
-                    target.record.incarnation,
-                    fingerprint,
-                )
-                telemetry.log_event(
-                    LOG,
-                    "entries: connection broke during a request",
-                    request_id=request.request_id,
-                    target=target.name,
-                    incarnation=target.record.incarnation,
-                    fingerprint=fingerprint,
-                    caller=request.caller,
-                    method=request.method,
-                    host=request.host,
-                    request_target=request.request_target,
-                    key=request.key,
-                    body_bytes=request.body_bytes,
-                )
-            case _:
-                pass
-
 
 def _failure_of(
     transfer: targets.Transfer, error: targets.TransferError
