--- a/src/goldcrestproxy/entries/attempt.py
+++ b/src/goldcrestproxy/entries/attempt.py
@@ -11,6 +11,7 @@
 from goldcrestproxy.entries import caller_request
 from goldcrestproxy.entries import control_link
 from goldcrestproxy.entries import coordinator as coordinators
+from goldcrestproxy.entries import relay_headers
 from goldcrestproxy.entries import replay
 from goldcrestproxy import errors
 from goldcrestproxy import results
@@ -173,7 +174,9 @@
             async with asyncio.timeout(max(0.0, until_s)):
                 head = await exchange.response
                 if head.code != results.ANSWERED:
-                    failed = AttemptFailed(_refusal_of(head), head.map_index)
+                    failed = AttemptFailed(
+                        relay_headers.refusal_of(head), head.map_index
+                    )
                     if failed.outcome is results.Outcome.NOT_RUN:
                         plan.progress.possible_runs -= 1
                     raise failed
@@ -214,11 +217,6 @@
     )
 
 
-def _refusal_of(head: wire.ttypes.RelayResponse) -> errors.RefusedError:
-    code = head.code if head.code in results.BY_CODE else results.INTERNAL
-    return results.refusal(code, head.text, head.retry_after_ms or 0)
-
-
 def _routed_answer(
     head: wire.ttypes.RelayResponse,
     exchange: wire.Exchange,
--- a/src/goldcrestproxy/entries/coordinator.py
+++ b/src/goldcrestproxy/entries/coordinator.py
@@ -13,6 +13,7 @@
 from goldcrestproxy.entries import coordinated_target
 from goldcrestproxy.entries import fingerprints
 from goldcrestproxy.entries import refusals
+from goldcrestproxy.entries import relay_headers
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import concurrency
@@ -160,15 +161,8 @@
         self, exchange: wire.Exchange, error: errors.RefusedError
     ) -> None:
         exchange.set_response(
-            wire.ttypes.RelayResponse(
-                code=error.code,
-                status=0,
-                headers=[],
-                body_bytes=0,
-                text=error.text,
-                map_index=self._link.state.applied_index,
-                retry_after_ms=error.retry_after_ms,
-                backlog_requests=0,
+            relay_headers.refusal_head(
+                error, map_index=self._link.state.applied_index
             )
         )
         exchange.response_body.finish()
--- a/src/goldcrestproxy/entries/passed_requests.py
+++ b/src/goldcrestproxy/entries/passed_requests.py
@@ -7,6 +7,7 @@
 import typing as ty
 
 from goldcrestproxy.entries import fleet_request
+from goldcrestproxy.entries import relay_headers
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy import wire
@@ -197,16 +198,5 @@
 
 
 def _refuse(exchange: wire.Exchange, error: errors.RefusedError) -> None:
-    exchange.set_response(
-        wire.ttypes.RelayResponse(
-            code=error.code,
-            status=0,
-            headers=[],
-            body_bytes=0,
-            text=error.text,
-            map_index=0,
-            retry_after_ms=error.retry_after_ms,
-            backlog_requests=0,
-        )
-    )
+    exchange.set_response(relay_headers.refusal_head(error, map_index=0))
     exchange.response_body.finish()
--- a/src/goldcrestproxy/entries/passing.py
+++ b/src/goldcrestproxy/entries/passing.py
@@ -9,6 +9,7 @@
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_request
 from goldcrestproxy.entries import passed_requests
+from goldcrestproxy.entries import relay_headers
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy.routing import fleet_retries
@@ -211,7 +212,7 @@
             async with asyncio.timeout(timeout_s):
                 head = await exchange.response
                 if head.code != results.ANSWERED:
-                    raise _refusal_of(head)
+                    raise relay_headers.refusal_of(head)
                 read = bytearray()
                 complete = False
                 while len(read) <= BUFFERED_ANSWER_BYTES_MAX and not complete:
@@ -248,8 +249,3 @@
             None if complete else exchange.response_body,
             exchange.cancel,
         )
-
-
-def _refusal_of(head: wire.ttypes.RelayResponse) -> errors.RefusedError:
-    code = head.code if head.code in results.BY_CODE else results.INTERNAL
-    return results.refusal(code, head.text, head.retry_after_ms or 0)
--- a/src/goldcrestproxy/entries/relay_headers.py
+++ b/src/goldcrestproxy/entries/relay_headers.py
@@ -1,10 +1,11 @@
-"""Headers of requests to targets and of their answers."""
+"""Headers and heads of requests to targets and of their answers."""
 
 from __future__ import annotations
 
 import typing as ty
 
 from goldcrestproxy import control
+from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy import targets
 from goldcrestproxy.targets import protocol
@@ -82,3 +83,28 @@
         retry_after_ms=0,
         backlog_requests=backlog_requests,
     )
+
+
+def refusal_head(
+    error: errors.RefusedError, *, map_index: int
+) -> wire.ttypes.RelayResponse:
+    """Return the response to an exchange that is refused.
+
+    :param map_index: index of the replicated state here, 0 if it is no reason
+    """
+    return wire.ttypes.RelayResponse(
+        code=error.code,
+        status=0,
+        headers=[],
+        body_bytes=0,
+        text=error.text,
+        map_index=map_index,
+        retry_after_ms=error.retry_after_ms,
+        backlog_requests=0,
+    )
+
+
+def refusal_of(head: wire.ttypes.RelayResponse) -> errors.RefusedError:
+    """Return the refusal in the response to an exchange."""
+    code = head.code if head.code in results.BY_CODE else results.INTERNAL
+    return results.refusal(code, head.text, head.retry_after_ms or 0)
