--- a/src/goldcrestproxy/control/key_planner.py
+++ b/src/goldcrestproxy/control/key_planner.py
@@ -21,6 +21,7 @@
 from goldcrestproxy.routing import key_placement
 from goldcrestproxy.routing import load_split
 from goldcrestproxy.routing import request_limits
+from goldcrestproxy.routing import rest_time
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -35,11 +36,6 @@
 FREE_BLOCK_S_MAX: ty.Final = 0.6
 # Below this share of warm targets, cold targets own keys too.
 WARM_SHARE_MIN: ty.Final = 0.5
-# Keys of a target that rests for at least this long move to others.
-MOVING_REST_MS: ty.Final = 1_000
-# Unless more than this share of a service's targets rest: the others could
-# not take their load.
-RESTING_SHARE_MAX: ty.Final = 0.25
 # Maximum blocks of a service per target, including the results of splits.
 BLOCKS_PER_TARGET_MAX: ty.Final = 60
 # A plan is recomputed at this age, or at the lower one after the registry has
@@ -160,7 +156,7 @@
             )
             work_time.record(observation.work_ms, observation.answers, now_s)
         for rest in report.rests or ():
-            if rest.rest_ms >= MOVING_REST_MS:
+            if rest.rest_ms >= rest_time.MOVING_REST_MS:
                 self._rests_until_s[rest.target, rest.incarnation] = (
                     now_s + rest.rest_ms / 1000
                 )
@@ -243,7 +239,8 @@
             if (target.target, target.incarnation) not in self._rests_until_s
         ]
         resting = len(targets) - len(awake)
-        return targets if resting > RESTING_SHARE_MAX * len(targets) else awake
+        move = rest_time.may_move_keys(resting, len(targets))
+        return awake if move else targets
 
     def overdue(self, service: str, free: list[int]) -> list[int]:
         """Return the blocks that have been free for over FREE_BLOCK_S_MAX."""
--- a/src/goldcrestproxy/routing/rest_time.py
+++ b/src/goldcrestproxy/routing/rest_time.py
@@ -12,6 +12,12 @@
 REST_S_MAX: ty.Final = 3600.0
 # While a first request finds out whether the rest is over.
 PROBE_RETRY_AFTER_MS: ty.Final = 100
+# Keys of a target that rests for at least this long move to others. A move
+# takes less than half of it.
+MOVING_REST_MS: ty.Final = 1_000
+# Unless more than this share of a service's targets rest: the others could
+# not take their load.
+RESTING_SHARE_MAX: ty.Final = 0.25
 
 
 @attrs.define(kw_only=True)
@@ -62,3 +68,8 @@
         if now_s < self.until_s:
             return math.ceil((self.until_s - now_s) * 1000)
         return 0 if self.may_send(now_s) else PROBE_RETRY_AFTER_MS
+
+
+def may_move_keys(resting: int, targets: int) -> bool:
+    """Whether other targets may take the keys of those that rest."""
+    return resting <= RESTING_SHARE_MAX * targets
--- a/tests/routing/test_rest_time.py
+++ b/tests/routing/test_rest_time.py
@@ -88,3 +88,10 @@
 def test_the_owner_that_asked_for_rest_is_not_asked_again():
     assert not may_retry(keyed=True)
     assert may_retry(keyed=False)
+
+
+def test_keys_stay_when_many_targets_rest():
+    assert rest_time.may_move_keys(1, 4)
+    assert rest_time.may_move_keys(5, 21)
+    assert not rest_time.may_move_keys(6, 21)
+    assert not rest_time.may_move_keys(1, 2)
