Do not take a target for unreached that answers with bytes

A pool's only target sent bytes that are no answer, on a connection that was in use before.

Only a connection that could not be opened, and a time-out without any byte on a reused one, now say that a target is out of reach.

--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -256,14 +256,26 @@
                 return
             case _:
                 target.stats.record_failure(now_s)
-                # A connection that was just opened shows that the target is
-                # reached, whatever became of the request.
-                if not transfer.answered and (
-                    transfer.reused or transfer.stage is targets.Stage.NOT_SENT
-                ):
+                if _is_out_of_reach(transfer, failure):
                     self._contact.record_failure(target.name)
 
 
+def _is_out_of_reach(
+    transfer: targets.Transfer, failure: fleet_retries.Failure
+) -> bool:
+    """Whether a failure says that the target cannot be reached.
+
+    A new connection, and any byte of an answer, show that it can.
+    """
+    match failure:
+        case fleet_retries.NotRun():
+            return True
+        case fleet_retries.MaybeRun(timed_out=True):
+            return transfer.reused and not transfer.answered
+        case _:
+            return False
+
+
 def _failure_of(
     transfer: targets.Transfer, error: targets.TransferError
 ) -> fleet_retries.Failure:
