Keep neighbours known that move to another control host

Cause: a control host that had fed an entry host ignored what the leader told of it until its own last report was 3 s old, and then had none at all until the leader's next answer. The trace: all refusals within one report interval, 5.149 to 5.436 s, 3 s after the only other host had returned to its preferred control host. Reports that a host takes no requests had the same fault: other control hosts went on telling of it for up to 6 s.

The latest report counts now, with its age, whichever control host received it.

--- a/src/goldcrestproxy/control/entry_directory.py
+++ b/src/goldcrestproxy/control/entry_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import typing as ty
 
@@ -19,16 +20,23 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Entry:
-    host: wire.ttypes.EntryHost
-    heard_s: float
+class _Report:
+    """Latest report of an entry host, and when that host sent it."""
+
+    host: str
+    zone: str
+    address: str
+    peer_port: int
+    takes_requests: bool
+    sent_s: float
+    fed_here: bool
 
 
 class EntryDirectory:
-    """Entry hosts that reach targets, by their latest reports.
+    """Latest reports of entry hosts, whichever control host received them.
 
-    Each control host has one. It knows the hosts that it feeds, and a sample
-    of those that the leader knows.
+    A control host has one. Reports that say that a host takes no requests are
+    exchanged too, since other control hosts may have an older one.
     """
 
     def __init__(
@@ -42,68 +50,90 @@
         """
         self._clock = clock
         self._rng = rng or random.Random()
-        self._fed: dict[str, _Entry] = {}
-        self._heard_of: dict[str, _Entry] = {}
+        self._reports: dict[str, _Report] = {}
 
     def record(self, request: wire.ttypes.WatchRequest) -> None:
         """Record the report of an entry host that is fed here."""
-        if not request.takes_requests or not request.address:
-            self._fed.pop(request.host, None)
-            self._heard_of.pop(request.host, None)
-            return
-        self._fed[request.host] = _Entry(
-            host=wire.ttypes.EntryHost(
+        self._add(
+            _Report(
                 host=request.host,
                 zone=request.zone,
-                address=request.address,
-                peer_port=request.peer_port,
-            ),
-            heard_s=self._clock(),
+                address=request.address or "",
+                peer_port=request.peer_port or 0,
+                takes_requests=bool(request.takes_requests),
+                sent_s=self._clock(),
+                fed_here=True,
+            )
         )
 
     def merge(self, hosts: ty.Iterable[wire.ttypes.EntryHost] | None) -> None:
-        """Add hosts that another control host knows."""
+        """Add the reports that another control host has."""
         now_s = self._clock()
         for host in hosts or ():
-            if host.host not in self._fed:
-                self._heard_of[host.host] = _Entry(host=host, heard_s=now_s)
+            self._add(
+                _Report(
+                    host=host.host,
+                    zone=host.zone,
+                    address=host.address,
+                    peer_port=host.peer_port,
+                    takes_requests=host.takes_requests,
+                    sent_s=now_s - host.age_ms / 1000,
+                    fed_here=False,
+                )
+            )
 
     def fed(self) -> list[wire.ttypes.EntryHost]:
-        """Return hosts that are fed here, for the leader."""
-        return self._sample(self._recent(self._fed), EXCHANGED_MAX)
+        """Return reports of hosts that are fed here, for the leader."""
+        return self._sample(
+            [report for report in self._recent() if report.fed_here],
+            EXCHANGED_MAX,
+        )
 
     def known(self) -> list[wire.ttypes.EntryHost]:
-        """Return hosts that are known here, for a follower."""
-        known = {**self._recent(self._heard_of), **self._recent(self._fed)}
-        return self._sample(known, EXCHANGED_MAX)
+        """Return all reports, for a follower."""
+        return self._sample(self._recent(), EXCHANGED_MAX)
 
     def neighbours(
         self, request: wire.ttypes.WatchRequest
     ) -> list[wire.ttypes.EntryHost]:
         """Return hosts for an entry host, half of them in its zone."""
-        known = {**self._recent(self._heard_of), **self._recent(self._fed)}
-        known.pop(request.host, None)
-        same_zone = {
-            name: host
-            for name, host in known.items()
-            if host.zone == request.zone
-        }
-        chosen = self._sample(same_zone, NEIGHBOURS_MAX // 2)
-        for host in chosen:
-            del known[host.host]
-        return chosen + self._sample(known, NEIGHBOURS_MAX - len(chosen))
-
-    def _recent(
-        self, entries: dict[str, _Entry]
-    ) -> dict[str, wire.ttypes.EntryHost]:
+        others = [
+            report
+            for report in self._recent()
+            if report.takes_requests and report.host != request.host
+        ]
+        near = [report for report in others if report.zone == request.zone]
+        chosen = self._sample(near, NEIGHBOURS_MAX // 2)
+        names = {host.host for host in chosen}
+        others = [report for report in others if report.host not in names]
+        return chosen + self._sample(others, NEIGHBOURS_MAX - len(chosen))
+
+    def _add(self, report: _Report) -> None:
+        previous = self._reports.get(report.host)
+        if previous is None or report.sent_s >= previous.sent_s:
+            self._reports[report.host] = report
+
+    def _recent(self) -> list[_Report]:
         since_s = self._clock() - REPORT_AGE_S_MAX
-        for name, entry in list(entries.items()):
-            if entry.heard_s < since_s:
-                del entries[name]
-        return {name: entry.host for name, entry in entries.items()}
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if report.sent_s > since_s
+        }
+        return list(self._reports.values())
 
     def _sample(
-        self, hosts: dict[str, wire.ttypes.EntryHost], count: int
+        self, reports: list[_Report], count: int
     ) -> list[wire.ttypes.EntryHost]:
-        names = self._rng.sample(sorted(hosts), min(count, len(hosts)))
-        return [hosts[name] for name in names]
+        now_s = self._clock()
+        return [
+            wire.ttypes.EntryHost(
+                host=report.host,
+                zone=report.zone,
+                address=report.address,
+                peer_port=report.peer_port,
+                takes_requests=report.takes_requests,
+                age_ms=math.ceil((now_s - report.sent_s) * 1000),
+            )
+            for report in self._rng.sample(reports, min(count, len(reports)))
+        ]
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -245,12 +245,15 @@
   2: i64 incarnation,
 }
 
-/** An entry host that sends requests on behalf of others. */
+/** The latest report of an entry host, which may send others' requests. */
 struct EntryHost {
   1: string host,
   2: string zone,
   3: string address,
   4: i32 peer_port,
+  5: bool takes_requests,
+  /** Time since the entry host sent the report. */
+  6: i32 age_ms,
 }
 
 struct WatchRequest {
