Do not take a target for down because isolated hosts decline it

With more than half of the hosts isolated, three of a host's six neighbours could decline a request as isolated themselves, and for half a second nobody was asked for that target again. Found on reading; the new tests fail on the code before.

An isolated host says so (code 3009). Only hosts that reach other targets count towards a target's back-off; all neighbours may be asked. A channel to a neighbour that cannot be opened takes a quarter of the remaining time at most, and an empty list of neighbours, as of a control host that has just started, takes effect after a second.

--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -265,7 +265,7 @@
     link.takes_requests = lambda: (
         gate.ready
         and link.current
-        and not contact.is_cut_off(len(fleet.targets))
+        and not contact.is_isolated(len(fleet.targets))
     )
     refusals = entries.DispatchRefusals(rng)
     suspects = entries.Suspects(fleet, refusals, clock)
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -206,7 +206,9 @@
             return None
         if state.request.passed_on and not state.sent_to:
             raise results.refusal(
-                results.TARGET_OUT_OF_REACH,
+                results.HOST_ISOLATED
+                if self._selection.isolated
+                else results.TARGET_OUT_OF_REACH,
                 f"this entry host does not reach {unreached}",
                 dispatch_refusals.SHED_RETRY_AFTER_MS,
             )
--- a/src/goldcrestproxy/entries/passing.py
+++ b/src/goldcrestproxy/entries/passing.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import typing as ty
 
+import attrs
+
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_request
 from goldcrestproxy.entries import passed_requests
@@ -24,17 +27,28 @@
 _UNREACHED_CODES: ty.Final = frozenset(
     {results.NO_TARGET, results.TARGET_UNREACHABLE}
 )
-# Refusals of a host after which another one may take the request.
-_DECLINED_CODES: ty.Final = frozenset(
+# Refusals of a host that takes no requests now.
+_UNWILLING_CODES: ty.Final = frozenset(
     {
+        results.HOST_ISOLATED,
         results.NO_CONFIGURATION,
-        results.TARGET_OUT_OF_REACH,
         results.STOPPING,
         results.UNKNOWN_ROUTE,
     }
 )
 
 
+@attrs.frozen(kw_only=True)
+class _Declined:
+    """A neighbour did not take a request, which has not run.
+
+    ``target_unreached`` means that it reaches other targets, but not this
+    one. Otherwise it takes no requests at all.
+    """
+
+    target_unreached: bool
+
+
 class RequestPassing:
     """Passes requests on to neighbours that reach their targets.
 
@@ -57,11 +71,20 @@
         self._clock = clock
         self._rng = rng
         self._neighbours: tuple[passing_on.Neighbour, ...] = ()
+        self._listed_s = -math.inf
         self._loads: dict[str, passing_on.NeighbourLoad] = {}
         self._target_back_off = passing_on.TargetBackOff()
 
     def set_neighbours(self, hosts: list[wire.ttypes.EntryHost]) -> None:
-        """Replace the hosts that take requests."""
+        """Replace the hosts that take requests.
+
+        An empty list takes effect after ``NEIGHBOURS_AGE_S``.
+        """
+        now_s = self._clock()
+        if hosts:
+            self._listed_s = now_s
+        elif now_s < self._listed_s + passing_on.NEIGHBOURS_AGE_S:
+            return
         self._neighbours = tuple(
             passing_on.Neighbour(
                 host=host.host,
@@ -76,6 +99,11 @@
             if name not in names and not load.in_flight:
                 del self._loads[name]
 
+    @property
+    def has_neighbours(self) -> bool:
+        """Whether any host is known that takes requests."""
+        return bool(self._neighbours)
+
     def retain_targets(self, targets: set[str]) -> None:
         """Forget what is known of all other targets."""
         self._target_back_off.retain(targets)
@@ -89,7 +117,7 @@
         """
         now_s = self._clock()
         return (
-            bool(self._neighbours)
+            self.has_neighbours
             and not state.request.passed_on
             and not state.sent_to
             and not state.asked_hosts
@@ -108,23 +136,10 @@
         :param target: name of the target, or of the pool's service
         :raises RefusedError: with the result of the host that took it
         """
-        while (
-            len(state.asked_hosts) < passing_on.ASKED_MAX
-            and state.body.replayable
-        ):
-            neighbour = passing_on.choose_neighbour(
-                [
-                    neighbour
-                    for neighbour in self._neighbours
-                    if neighbour.host not in state.asked_hosts
-                ],
-                self._loads,
-                self._zone,
-                self._clock(),
-                self._rng,
-            )
-            left_s = state.deadline_s - self._clock()
-            if neighbour is None or left_s < passing_on.TIME_LEFT_MIN_S:
+        unreached_by = 0
+        while unreached_by < passing_on.UNREACHED_BY_MAX:
+            neighbour = self._next_neighbour(state)
+            if neighbour is None:
                 break
             state.asked_hosts.append(neighbour.host)
             load = self._loads.setdefault(
@@ -132,27 +147,66 @@
             )
             load.in_flight += 1
             try:
-                answer = await self._ask(state, neighbour)
-            except errors.ChannelClosedError:
-                answer = None
-            except errors.RefusedError as error:
-                if error.code in _UNREACHED_CODES:
-                    self._target_back_off.record_failure(target, self._clock())
-                if error.code not in _DECLINED_CODES:
-                    raise
-                answer = None
+                outcome = await self._ask_once(state, neighbour, target)
             finally:
                 load.in_flight -= 1
-            if answer is not None:
-                load.back_off_until_s = 0.0
-                self._target_back_off.record_success(target)
-                return answer
-            load.back_off_until_s = (
-                self._clock() + passing_on.NEIGHBOUR_BACK_OFF_S
-            )
-        self._target_back_off.record_failure(target, self._clock())
+            match outcome:
+                case _Declined(target_unreached=True):
+                    unreached_by += 1
+                case _Declined():
+                    load.back_off_until_s = (
+                        self._clock() + passing_on.NEIGHBOUR_BACK_OFF_S
+                    )
+                case fleet_request.FleetAnswer():
+                    load.back_off_until_s = 0.0
+                    self._target_back_off.record_success(target)
+                    return outcome
+        if unreached_by:
+            self._target_back_off.record_failure(target, self._clock())
         return None
 
+    def _next_neighbour(
+        self, state: dispatch_state.DispatchState
+    ) -> passing_on.Neighbour | None:
+        """Return the host to ask next, None if none is left or too late."""
+        left_s = state.deadline_s - self._clock()
+        if left_s < passing_on.TIME_LEFT_MIN_S or not state.body.replayable:
+            return None
+        return passing_on.choose_neighbour(
+            [
+                neighbour
+                for neighbour in self._neighbours
+                if neighbour.host not in state.asked_hosts
+            ],
+            self._loads,
+            self._zone,
+            self._clock(),
+            self._rng,
+        )
+
+    async def _ask_once(
+        self,
+        state: dispatch_state.DispatchState,
+        neighbour: passing_on.Neighbour,
+        target: str,
+    ) -> fleet_request.FleetAnswer | _Declined:
+        """Pass a request on to a neighbour, unless it declines.
+
+        :raises RefusedError: with the result of a neighbour that took it
+        """
+        try:
+            return await self._ask(state, neighbour)
+        except errors.ChannelClosedError:
+            return _Declined(target_unreached=False)
+        except errors.RefusedError as error:
+            if error.code == results.TARGET_OUT_OF_REACH:
+                return _Declined(target_unreached=True)
+            if error.code in _UNWILLING_CODES:
+                return _Declined(target_unreached=False)
+            if error.code in _UNREACHED_CODES:
+                self._target_back_off.record_failure(target, self._clock())
+            raise
+
     async def _ask(
         self,
         state: dispatch_state.DispatchState,
@@ -194,11 +248,11 @@
     ) -> None:
         address = wire.PeerAddress(neighbour.address, neighbour.peer_port)
         try:
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(left_s * passing_on.OPEN_SHARE):
                 await self._peers.open(address, exchange)
         except TimeoutError as error:
             raise errors.ChannelClosedError(
-                f"{neighbour.host} was not reached by the deadline"
+                f"{neighbour.host} was not reached in time"
             ) from error
 
     async def _answer(
--- a/src/goldcrestproxy/entries/target_prober.py
+++ b/src/goldcrestproxy/entries/target_prober.py
@@ -42,7 +42,7 @@
         self._passing = request_passing
         self._rng = rng
         self._client = tcpclient.TCPClient()
-        self._was_cut_off = False
+        self._was_isolated = False
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -74,14 +74,14 @@
         self._contact.record_connection(name)
 
     def _log_change(self, unreached: int) -> None:
-        cut_off = self._contact.is_cut_off(len(self._fleet.targets))
-        if cut_off == self._was_cut_off:
+        isolated = self._contact.is_isolated(len(self._fleet.targets))
+        if isolated == self._was_isolated:
             return
-        self._was_cut_off = cut_off
+        self._was_isolated = isolated
         telemetry.log_event(
             LOG,
-            "entries: cut off from all targets"
-            if cut_off
+            "entries: no target is reached"
+            if isolated
             else "entries: targets are reached again",
             targets=len(self._fleet.targets),
             unreached=unreached,
--- a/src/goldcrestproxy/entries/target_selection.py
+++ b/src/goldcrestproxy/entries/target_selection.py
@@ -74,23 +74,28 @@
                 return target
             # Without a permit the target has no room for a while.
 
+    @property
+    def isolated(self) -> bool:
+        """Whether this host reaches no target."""
+        return self._contact.is_isolated(len(self._fleet.targets))
+
     def unreached(self, state: dispatch_state.DispatchState) -> str | None:
         """Return the target, or else the service, that is out of reach."""
-        cut_off = self._contact.is_cut_off(len(self._fleet.targets))
+        isolated = self.isolated
         key = state.request.key
         if not self._fleet.is_keyed(state.service):
             pool = self._fleet.available_targets(state.service)
             unreached = [t for t in pool if self._is_unreached(t)]
             all_unreached = bool(pool) and len(unreached) == len(pool)
-            return state.service if cut_off or all_unreached else None
+            return state.service if isolated or all_unreached else None
         if key is None:
             return None
         owner = self._fleet.owner(state.service, key)
         if owner is None:
-            return state.service if cut_off else None
+            return state.service if isolated else None
         if owner.record.lost:
             return None
-        unreached_owner = cut_off or self._is_unreached(owner)
+        unreached_owner = isolated or self._is_unreached(owner)
         return owner.name if unreached_owner else None
 
     def _is_unreached(self, target: fleet_map.TrackedTarget) -> bool:
--- a/src/goldcrestproxy/results.py
+++ b/src/goldcrestproxy/results.py
@@ -75,6 +75,7 @@
 QUARANTINED = 3006
 STILL_RUNNING = 3007
 TARGET_OUT_OF_REACH = 3008
+HOST_ISOLATED = 3009
 OUTCOME_UNKNOWN = 4001
 DEADLINE_UNKNOWN = 4002
 ANSWER_INCOMPLETE = 4003
@@ -280,6 +281,14 @@
         "The entry host that was asked does not reach the target either.",
         _RETRY_LATER,
     ),
+    _row(
+        HOST_ISOLATED,
+        "host-isolated",
+        503,
+        _NOT_RUN,
+        "The entry host that was asked reaches no target.",
+        _RETRY_LATER,
+    ),
     _row(
         OUTCOME_UNKNOWN,
         "outcome-unknown",
--- a/src/goldcrestproxy/routing/passing_on.py
+++ b/src/goldcrestproxy/routing/passing_on.py
@@ -7,12 +7,16 @@
 
 import attrs
 
-# Hosts that are asked, one after the other, to take a request.
-ASKED_MAX: ty.Final = 3
+# Hosts that do not reach a target before it counts as unreachable.
+UNREACHED_BY_MAX: ty.Final = 3
+# Share of the remaining time that a request may wait for a channel.
+OPEN_SHARE: ty.Final = 0.25
+# How long neighbours are kept when a control host names none: it may have
+# just started.
+NEIGHBOURS_AGE_S: ty.Final = 1.0
 # Less time is not enough for the way over another host.
 TIME_LEFT_MIN_S: ty.Final = 0.04
-# How long a host that could not take a request is asked only if no other is
-# known.
+# How long a host that takes no requests is asked only after all others.
 NEIGHBOUR_BACK_OFF_S: ty.Final = 1.0
 # Requests for a target that other hosts do not reach either are not passed on
 # for this time, doubled with each further failure up to the maximum.
--- a/src/goldcrestproxy/routing/target_contact.py
+++ b/src/goldcrestproxy/routing/target_contact.py
@@ -5,7 +5,7 @@
 import attrs
 
 # Targets that a host fails to reach, without contact to any other in between,
-# before it counts as cut off from all targets.
+# before it counts as isolated.
 UNREACHED_MIN = 3
 
 
@@ -49,7 +49,7 @@
         """Whether the last connection to a target failed."""
         return target in self._unreached
 
-    def is_cut_off(self, targets: int) -> bool:
+    def is_isolated(self, targets: int) -> bool:
         """Whether this host reaches none of so many targets."""
         return 0 < targets and len(self._failed_in_a_row) >= min(
             UNREACHED_MIN, targets
--- a/tests/entries/test_passing.py
+++ b/tests/entries/test_passing.py
@@ -19,12 +19,6 @@
 from goldcrestproxy.routing import target_contact
 from goldcrestproxy import wire
 
-NEIGHBOURS = [
-    wire.ttypes.EntryHost(
-        host=f"entry-{n}", zone="zone-a", address=f"10.0.0.{n}", peer_port=70
-    )
-    for n in range(3)
-]
 HEAD = wire.ttypes.RelayResponse(
     code=results.ANSWERED,
     status=200,
@@ -67,22 +61,47 @@
         exchange.response_body.finish()
 
 
-def dispatch(peers, *, kind=dispatching.UNSAFE, outcomes=(), **changes):
-    """Dispatch a request at a host that reaches no target."""
+def make_passing(peers, neighbours=3, clock=lambda: 1.0):
+    passing = entries.RequestPassing(peers, "zone-a", clock, random.Random(1))
+    passing.set_neighbours(
+        [
+            wire.ttypes.EntryHost(
+                host=f"entry-{n}",
+                zone="zone-a",
+                address=f"10.0.0.{n}",
+                peer_port=70,
+            )
+            for n in range(neighbours)
+        ]
+    )
+    return passing
+
+
+def dispatch(
+    peers,
+    *,
+    kind=dispatching.UNSAFE,
+    outcomes=(),
+    passing=None,
+    back_off=False,
+    **changes,
+):
+    """Dispatch a request at a host that reaches no target.
+
+    ``back_off`` makes the host refuse what no neighbour takes.
+    """
     fleet = dispatching.FakeFleet(kind)
+    if back_off:
+        fleet.target.stats.back_off_until_s = 10.0
     sender = dispatching.FakeSender(fleet, list(outcomes))
     request = attrs.evolve(dispatching.REQUEST, **changes)
-    passing = entries.RequestPassing(
-        peers, "zone-a", lambda: 1.0, random.Random(1)
-    )
-    passing.set_neighbours(NEIGHBOURS)
     contact = target_contact.TargetContact()
     if not outcomes:
         contact.record_failure("t1")
 
     async def scenario():
         dispatcher = dispatching.make_dispatcher(
-            fleet, sender, passing, contact
+            fleet, sender, passing or make_passing(peers), contact
         )
         route = dispatcher.find_route(request)
         return await dispatcher.dispatch(request, route)
@@ -128,8 +147,8 @@
     peers = FakePeers(HEAD)
     with pytest.raises(errors.RefusedError) as caught:
         dispatch(peers, passed_on=True)
-    assert caught.value.code == results.TARGET_OUT_OF_REACH
-    assert results.BY_CODE[3008].outcome is results.Outcome.NOT_RUN
+    outcome = results.BY_CODE[caught.value.code].outcome
+    assert outcome is results.Outcome.NOT_RUN
     assert peers.opened == []
 
 
@@ -215,3 +234,56 @@
         dispatch(peers, body=body, body_bytes=-1)
     assert caught.value.code == results.TARGET_OUT_OF_REACH
     assert len(peers.opened) == 1
+
+
+def test_isolated_neighbours_do_not_make_a_target_count_as_unreachable():
+    """Four of six neighbours are isolated, as more hosts may be."""
+    isolated = refused(results.HOST_ISOLATED)
+    peers = FakePeers(*[isolated] * 4, HEAD, *[isolated] * 6, HEAD)
+    passing = make_passing(peers, neighbours=6)
+    assert dispatch(peers, passing=passing)[0].status == 200
+    # Nobody takes this one.
+    with pytest.raises(errors.RefusedError):
+        dispatch(peers, passing=passing, back_off=True)
+    assert dispatch(peers, passing=passing)[0].status == 200
+
+
+def test_a_target_that_no_neighbour_reaches_is_not_asked_for_again():
+    peers = FakePeers(*[refused(results.TARGET_OUT_OF_REACH)] * 3)
+    passing = make_passing(peers, neighbours=6)
+    for _ in range(2):
+        with pytest.raises(errors.RefusedError) as caught:
+            dispatch(peers, passing=passing, back_off=True)
+        assert caught.value.code == results.NO_TARGET
+    assert peers.responses == []
+
+
+def test_neighbours_stay_known_for_a_moment_without_a_list():
+    now_s = [1.0]
+    passing = make_passing(FakePeers(), clock=lambda: now_s[0])
+    passing.set_neighbours([])
+    assert passing.has_neighbours
+    now_s[0] += 1.1
+    passing.set_neighbours([])
+    assert not passing.has_neighbours
+
+
+def test_an_isolated_host_says_so():
+    fleet = dispatching.FakeFleet(dispatching.UNSAFE)
+    contact = target_contact.TargetContact()
+    contact.record_failure("t1")
+    request = attrs.evolve(dispatching.REQUEST, passed_on=True)
+
+    async def scenario():
+        dispatcher = dispatching.make_dispatcher(
+            fleet, dispatching.FakeSender(fleet, []), None, contact
+        )
+        return await dispatcher.dispatch(
+            request, dispatcher.find_route(request)
+        )
+
+    with pytest.raises(errors.RefusedError) as caught:
+        asyncio.run(scenario())
+    assert caught.value.code == results.HOST_ISOLATED
+    outcome = results.BY_CODE[results.HOST_ISOLATED].outcome
+    assert outcome is results.Outcome.NOT_RUN
--- a/tests/routing/test_passing_on.py
+++ b/tests/routing/test_passing_on.py
@@ -56,12 +56,12 @@
     contact = target_contact.TargetContact()
     for name in ("t1", "t2", "t2"):
         contact.record_failure(name)
-        assert not contact.is_cut_off(20)
+        assert not contact.is_isolated(20)
     contact.record_failure("t3")
-    assert contact.is_cut_off(20)
-    assert not contact.is_cut_off(0)
+    assert contact.is_isolated(20)
+    assert not contact.is_isolated(0)
     contact.record_connection("t9")
-    assert not contact.is_cut_off(20)
+    assert not contact.is_isolated(20)
     assert contact.unreached == {"t1", "t2", "t3"}
 
 
@@ -70,7 +70,7 @@
     for _ in range(50):
         contact.record_failure("t1")
         contact.record_answer()
-    assert not contact.is_cut_off(20)
+    assert not contact.is_isolated(20)
     assert contact.is_unreached("t1")
 
 
@@ -79,7 +79,7 @@
     for name in ("t1", "t2", "t3"):
         contact.record_failure(name)
     contact.record_answer()
-    assert not contact.is_cut_off(20)
+    assert not contact.is_isolated(20)
     assert contact.is_unreached("t1")
     contact.record_connection("t1")
     assert not contact.is_unreached("t1")
@@ -91,4 +91,4 @@
         contact.record_failure(name)
     contact.retain({"t1"})
     assert contact.unreached == {"t1"}
-    assert not contact.is_cut_off(20)
+    assert not contact.is_isolated(20)
--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -108,7 +108,7 @@
 
 
 @given(st.integers(0, 2**32), st.integers(1, 200))
-def test_torn_tail_is_cut_off(seed, cut_bytes):
+def test_torn_tail_is_isolated(seed, cut_bytes):
     data = _log_bytes(10, synced_each=1)
     torn = data[: len(data) - min(cut_bytes, 60)]
     result = record.scan(torn, "log")
