Report leaving targets again to a new leader; take the drain time from settings

A report that an answer said its target leaves was lost with the control host that had it, and then only the hosts with such an answer were bound. It is repeated to the next one, as broken runs are. The second in which the owner of a key is still sent requests was fixed; it is half of the drain time in the settings now. Tests of the leader: keys move without a heartbeat that says so, also under the next leader, until the target starts again; keys of resting targets move unless many rest. Callers of hosts that heal and are cut off again, and of hosts that are all cut off, have system tests.

--- a/src/goldcrestproxy/control/observations.py
+++ b/src/goldcrestproxy/control/observations.py
@@ -48,6 +48,8 @@
         self._limits: dict[tuple[str, int], _LimitReport] = {}
         self._rests_ms: dict[tuple[str, int], float] = {}
         self._leaving: set[tuple[str, int]] = set()
+        # Those that were reported, with the time of the report.
+        self._reported_leaving: dict[tuple[str, int], float] = {}
 
     def count_request(self, service: str, block: int) -> None:
         """Count a request for a key in a block."""
@@ -156,7 +158,7 @@
             self.record_leaving(process.target, process.incarnation)
 
     def repeat_runs(self) -> None:
-        """Report recent broken runs again, to another host.
+        """Report recent broken runs and leaving targets to another host.
 
         They are lost with the host that had them.
         """
@@ -165,6 +167,12 @@
             run for at_s, run in self._reported_runs if at_s >= since_s
         )
         self._reported_runs.clear()
+        self._leaving.update(
+            process
+            for process, at_s in self._reported_leaving.items()
+            if at_s >= since_s
+        )
+        self._reported_leaving.clear()
 
     def _add_work(
         self, key: tuple[str, int], work_ms: float, answers: int
@@ -219,6 +227,7 @@
             wire.ttypes.TargetProcess(target=target, incarnation=incarnation)
             for target, incarnation in sorted(self._leaving)
         ]
+        self._reported_leaving.update(dict.fromkeys(self._leaving, now_s))
         self._leaving = set()
         request.cleared = sorted(self._cleared)
         self._cleared = set()
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -256,7 +256,7 @@
         peering.peers,
     )
     gate = callers.Gate()
-    fleet = entries.FleetMap(link, clock, rng)
+    fleet = entries.FleetMap(link, clock, rng, fleet_settings.drain_ms)
     contact = target_contact.TargetContact()
     request_passing = entries.RequestPassing(
         peering.peers, host_settings.zone, clock, rng
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -73,10 +73,13 @@
     rest: rest_time.RestTime = attrs.field(factory=rest_time.RestTime)
     # When an answer to this host first said that the target leaves.
     leaving_s: float | None = None
+    leaving_grace_s: float = leaving.keyed_grace_s(leaving.DRAIN_MS_DEFAULT)
 
     def has_left(self, now_s: float, *, keyed: bool) -> bool:
         """Whether it gets nothing more, by its answers to this host."""
-        return not leaving.may_send(self.leaving_s, now_s, keyed=keyed)
+        return not leaving.may_send(
+            self.leaving_s, now_s, keyed=keyed, grace_s=self.leaving_grace_s
+        )
 
     @property
     def name(self) -> str:
@@ -95,10 +98,12 @@
         watcher: state_watcher.StateWatcher,
         clock: ty.Callable[[], float],
         rng: random.Random,
+        drain_ms: float = leaving.DRAIN_MS_DEFAULT,
     ) -> None:
         """Create a map without routes and targets, updated by ``watcher``.
 
         :param clock: monotonic time in seconds
+        :param drain_ms: time for which a leaving target serves
         """
         self.routes = route_table.RouteTable(())
         self.targets: dict[str, TrackedTarget] = {}
@@ -109,6 +114,7 @@
         self._watcher = watcher
         self._clock = clock
         self._rng = rng
+        self._leaving_grace_s = leaving.keyed_grace_s(drain_ms)
         self._revision = -1
         self._items_revision = -1
         # By fingerprint. Each request reads it; looking through all suspects
@@ -340,6 +346,7 @@
                 request_limit=request_limits.RequestLimit(
                     tokens=self._rng.random()
                 ),
+                leaving_grace_s=self._leaving_grace_s,
             )
         tracked.record = record
         if record.cold_index != tracked.cold_index:
--- a/src/goldcrestproxy/settings/fleet.py
+++ b/src/goldcrestproxy/settings/fleet.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from goldcrestproxy.routing import leaving
 from goldcrestproxy.settings import loading
 
 ENDPOINT_PARTS: ty.Final = 2
@@ -83,6 +84,11 @@
     hold_ms_max: float = attrs.field(
         default=HOLD_MS_MAX_DEFAULT, validator=loading.in_range(200, 600_000)
     )
+    # Time for which a target serves after it has said that it leaves.
+    drain_ms: float = attrs.field(
+        default=leaving.DRAIN_MS_DEFAULT,
+        validator=loading.in_range(0, 600_000),
+    )
     resend_ratio: float = attrs.field(
         default=0.1, validator=loading.in_range(0, 10)
     )
--- a/tests/control/test_registrar.py
+++ b/tests/control/test_registrar.py
@@ -622,3 +622,60 @@
         assert not replica.state.quarantine.crashes
 
     asyncio.run(scenario())
+
+
+def beating_targets(count):
+    return [
+        SimulatedTarget(
+            name=f"i-{n}", address=f"10.0.0.{n}:80", clock_slowdown=0.0
+        )
+        for n in range(count)
+    ]
+
+
+def test_keys_of_a_target_whose_answers_say_that_it_leaves_move(replica):
+    """Its heartbeats never say so, also not to the next leader."""
+
+    async def scenario():
+        leader = new_leader(replica)
+        simulated = beating_targets(4)
+        await lay_out(leader, replica, simulated)
+        space = replica.state.registry.keyspaces["desk"]
+        assert space.owned_by("i-0")
+        process = wire.ttypes.TargetProcess(target="i-0", incarnation=1)
+        leader.observe(watch_request(leaving=[process]))
+        await beat_for(leader, replica, simulated, 4.0)
+        assert replica.state.registry.targets["i-0"].leaving
+        assert space.owned_by("i-0") == []
+        await beat_for(new_leader(replica), replica, simulated, 15.0)
+        assert replica.state.registry.targets["i-0"].leaving
+        assert space.owned_by("i-0") == []
+        simulated[0].restart()
+        await beat_for(leader, replica, simulated, 4.0)
+        assert not replica.state.registry.targets["i-0"].leaving
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("resting", "moved"), [(1, True), (2, False)])
+def test_keys_of_targets_that_ask_for_rest_move_unless_many_do(
+    replica, resting, moved
+):
+    async def scenario():
+        leader = new_leader(replica)
+        simulated = beating_targets(4)
+        await lay_out(leader, replica, simulated)
+        space = replica.state.registry.keyspaces["desk"]
+        rests = [
+            wire.ttypes.TargetRest(
+                target=f"i-{n}", incarnation=1, rest_ms=8_000
+            )
+            for n in range(resting)
+        ]
+        leader.observe(watch_request(rests=rests))
+        await beat_for(leader, replica, simulated, 4.0)
+        assert (space.owned_by("i-0") == []) is moved
+        await beat_for(leader, replica, simulated, 20.0)
+        assert space.owned_by("i-0")
+
+    asyncio.run(scenario())
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -154,3 +154,26 @@
     peers.error = errors.WireError("cut")
     asyncio.run(run_one_interval(relay))
     assert relay.watch(None, watch_request("entry-a")).entry_hosts == 0
+
+
+def test_a_new_leader_hears_which_targets_leave():
+    reporting = observations.Observations()
+    reporting.record_leaving("t1", 1)
+    requests = [wire.ttypes.WatchRequest() for _ in range(3)]
+    reporting.flush_into(requests[0])
+    reporting.flush_into(requests[1])
+    reporting.repeat_runs()
+    reporting.flush_into(requests[2])
+    reported = [[p.target for p in request.leaving] for request in requests]
+    assert reported == [["t1"], [], ["t1"]]
+
+
+def test_a_leaving_target_is_reported_again_after_a_failed_report():
+    reporting = observations.Observations()
+    reporting.record_leaving("t1", 1)
+    failed = wire.ttypes.WatchRequest()
+    reporting.flush_into(failed)
+    reporting.restore_runs(failed)
+    request = wire.ttypes.WatchRequest()
+    reporting.flush_into(request)
+    assert [process.target for process in request.leaving] == ["t1"]
--- a/tests/routing/test_rest_time.py
+++ b/tests/routing/test_rest_time.py
@@ -4,6 +4,7 @@
 
 from goldcrestproxy.platform import conventions
 from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import leaving
 from goldcrestproxy.routing import rest_time
 
 
@@ -95,3 +96,11 @@
     assert rest_time.may_move_keys(5, 21)
     assert not rest_time.may_move_keys(6, 21)
     assert not rest_time.may_move_keys(1, 2)
+
+
+def test_the_owner_of_a_key_serves_it_for_half_of_its_drain_time():
+    grace_s = leaving.keyed_grace_s(500.0)
+    assert leaving.may_send(None, 10.0, keyed=True, grace_s=grace_s)
+    assert leaving.may_send(10.0, 10.24, keyed=True, grace_s=grace_s)
+    assert not leaving.may_send(10.0, 10.25, keyed=True, grace_s=grace_s)
+    assert not leaving.may_send(10.0, 10.0, keyed=False, grace_s=grace_s)
--- a/tests/system/test_hosts_without_targets.py
+++ b/tests/system/test_hosts_without_targets.py
@@ -162,6 +162,55 @@
     assert_statuses_are_true(fleet, results)
 
 
+@pytest.mark.parametrize("cut", ["hang", "reset"])
+def test_callers_of_a_host_that_heals_and_is_cut_off_again_are_served(
+    fleet, cut
+):
+    healed_s, cut_again_s = 3.0, 5.5
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        started_s = time.monotonic()
+        sending = pool.submit(send_for, fleet, cut_again_s + CUT_S)
+        for action, at_s in ((cut, 0), ("heal", healed_s), (cut, cut_again_s)):
+            time.sleep(max(0.0, started_s + at_s - time.monotonic()))
+            for relay in fleet.relays[0]:
+                getattr(relay, action)()
+        results = sending.result()
+    assert_statuses_are_true(fleet, results)
+    for from_s, until_s in (
+        (healed_s, cut_again_s - 1.0),
+        (cut_again_s + CONTACT_S, cut_again_s + CUT_S),
+    ):
+        own = [
+            status
+            for host, sent_s, status, _ in results
+            if host == 0 and from_s <= sent_s < until_s
+        ]
+        failed = len(own) - own.count(200)
+        assert failed <= FAILED_MAX + FAILED_SHARE_MAX * len(own), from_s
+
+
+@pytest.mark.parametrize("cut", ["hang", "refuse_new", "reset"])
+def test_callers_are_refused_at_once_while_no_host_reaches_a_target(
+    fleet, cut
+):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sending = pool.submit(send_for, fleet, 4.0)
+        for relay in itertools.chain(*fleet.relays.values()):
+            getattr(relay, cut)()
+        results = sending.result()
+    assert_statuses_are_true(fleet, results)
+    for relay in itertools.chain(*fleet.relays.values()):
+        relay.heal()
+    fleet.wait_until(
+        lambda: all(
+            send(fleet, host, number)[0] == 200
+            for host in range(ENTRY_HOSTS)
+            for number in range(12)
+        ),
+        timeout_s=5.0,
+    )
+
+
 def test_a_host_sends_itself_again_once_it_reaches_targets(fleet):
     for relay in fleet.relays[0]:
         relay.hang()
