Take no answer's head that breaks off, and no earlier answer, for an answer

What callers could see: a 200 with an empty body when a target closed its connection in the middle of its answer's head; "not run" for a request that ran, when a faulty target wrote an earlier refusal once more.

Causes. libcurl reports a success for a head that breaks off after its status line. The own interface read a target's refusal before it compared the request id. A request that is sent to the same target again, after a refusal, has the same id, so a second copy of the refusal fits it. libcurl also uses an idle connection again that has unread bytes, which cost the next request its answer.

A transfer is complete only with the end of its head. The id is checked while the head is read, in both interfaces. A retry at the same target uses a new connection. Right before the first byte, a connection with unread bytes is given up, and the transfer starts again on a new one.

--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -394,6 +394,7 @@
             timeout_ms=left_ms,
             new_connection=new_connection,
             may_send=may_send,
+            expected_header=(protocol.REQUEST_ID, request.request_id),
         )
 
     async def _relay_answer(
@@ -449,7 +450,7 @@
         fingerprint: str,
     ) -> None:
         self.agent.wake()
-        if error.stage is targets.Stage.NOT_SENT:
+        if error.stage is targets.Stage.NOT_SENT or error.mismatched:
             return
         if error.timed_out:
             self.limit.record_timeout()
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -284,6 +284,7 @@
             state.body,
             target,
             idempotent=state.route.idempotent,
+            new_connection=target.name in state.sent_to,
             deadline_s=state.deadline_s,
             is_allowed=lambda: self._may_send(state, target),
             on_sent=sent,
--- a/src/goldcrestproxy/entries/refusals.py
+++ b/src/goldcrestproxy/entries/refusals.py
@@ -42,6 +42,11 @@
         return results.refusal(
             results.TARGET_UNREACHABLE, f"{target}: {error}", 100
         )
+    if error.mismatched:
+        return results.refusal(
+            results.ANSWER_MISMATCHED,
+            f"{target} answered another request on this connection",
+        )
     if error.timed_out:
         return results.refusal(
             results.DEADLINE_UNKNOWN, f"{target} did not answer in time"
@@ -97,17 +102,10 @@
     """Check the head of an answer; return the body length, -1 if chunked.
 
     :param on_shed: see ``raise_not_run``
-    :raises RefusedError: for a refusal by the target, the answer to another
-        request, or an answer whose end cannot be detected
+    :raises RefusedError: for a refusal by the target, or an answer whose end
+        cannot be detected
     """
     raise_not_run(head, target, on_shed)
-    answered_id = head.headers.get(protocol.REQUEST_ID)
-    if answered_id != request.request_id:
-        raise results.refusal(
-            results.ANSWER_MISMATCHED,
-            f"{target} answered request {answered_id!r} on the connection "
-            f"of {request.request_id!r}",
-        )
     body_bytes = head.body_bytes(request.method)
     if body_bytes is None:
         raise results.refusal(
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -79,12 +79,15 @@
         target: fleet_map.TrackedTarget,
         *,
         idempotent: bool,
+        new_connection: bool,
         deadline_s: float,
         is_allowed: ty.Callable[[], bool],
         on_sent: ty.Callable[[float], None],
     ) -> fleet_request.FleetAnswer:
         """Send a request once and return the successful answer.
 
+        :param new_connection: do not reuse a connection: it may still carry
+            another answer with the id of this request
         :param deadline_s: monotonic time
         :param is_allowed: asked once there is a connection; if it returns
             False, nothing is sent
@@ -121,10 +124,8 @@
                 body_bytes=request.body_bytes,
                 timeout_ms=left_ms,
                 queue_reserve_ms=target.stats.answer_ms_min,
-                idle_s_max=(
-                    IDEMPOTENT_IDLE_S_MAX
-                    if idempotent
-                    else NON_IDEMPOTENT_IDLE_S_MAX
+                idle_s_max=_idle_s_max(
+                    idempotent=idempotent, new_connection=new_connection
                 ),
                 expected_header=(
                     self._conventions.request_id_header,
@@ -260,6 +261,12 @@
                     self._contact.record_failure(target.name)
 
 
+def _idle_s_max(*, idempotent: bool, new_connection: bool) -> int:
+    if new_connection:
+        return 0
+    return IDEMPOTENT_IDLE_S_MAX if idempotent else NON_IDEMPOTENT_IDLE_S_MAX
+
+
 def _is_out_of_reach(
     transfer: targets.Transfer, failure: fleet_retries.Failure
 ) -> bool:
--- a/src/goldcrestproxy/targets/client.py
+++ b/src/goldcrestproxy/targets/client.py
@@ -9,6 +9,7 @@
 from tornado import httpclient
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import connections
 from goldcrestproxy.targets import handles
 from goldcrestproxy.targets import protocol
 from goldcrestproxy.targets import transfer
@@ -31,7 +32,7 @@
         """
         self._address = address
         self._active_transfers = 0
-        self._used_ports: set[int] = set()
+        self._connections = connections.Connections()
         self._request_client = handles.Handles(slots)
         self._order_client = handles.Handles(ORDER_HANDLES)
 
@@ -46,8 +47,12 @@
         timeout_ms: int,
         new_connection: bool,
         may_send: ty.Callable[[], bool],
+        expected_header: tuple[str, str] | None = None,
     ) -> transfer.Transfer:
-        """Prepare a caller's request; ``Transfer.run`` sends it."""
+        """Prepare a caller's request; ``Transfer.run`` sends it.
+
+        :param expected_header: see ``Transfer``
+        """
         request = httpclient.HTTPRequest(
             f"http://{self._address}{path}",
             method=method,
@@ -64,8 +69,9 @@
             body=body,
             body_bytes=body_bytes,
             new_connection=new_connection,
-            used_ports=self._used_ports,
+            connections=self._connections,
             may_send=may_send,
+            expected_header=expected_header,
             deadline_header=protocol.DEADLINE_MS,
         )
 
@@ -146,7 +152,7 @@
             body=pipe,
             body_bytes=len(body),
             new_connection=new_connection,
-            used_ports=self._used_ports,
+            connections=self._connections,
             may_send=may_send,
         )
         with self.in_use():
--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -9,6 +9,7 @@
 from tornado import httpclient
 
 from goldcrestproxy.routing import connect_timeout
+from goldcrestproxy.targets import connections
 from goldcrestproxy.targets import handles
 from goldcrestproxy.targets import transfer
 from goldcrestproxy.wire import Pipe
@@ -49,7 +50,7 @@
 
     def __init__(self) -> None:
         self._handles = handles.Handles(HANDLES_MAX)
-        self._used_ports: set[int] = set()
+        self._connections = connections.Connections()
         self.adaptive_timeout = connect_timeout.ConnectTimeout()
 
     def start(
@@ -86,7 +87,7 @@
             body=outgoing.body,
             body_bytes=outgoing.body_bytes,
             new_connection=outgoing.idle_s_max == 0,
-            used_ports=self._used_ports,
+            connections=self._connections,
             may_send=may_send,
             configure=configure,
             expected_header=outgoing.expected_header,
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -18,6 +18,7 @@
 from tornado import httputil
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import connections as open_connections
 from goldcrestproxy.targets import handles as transfer_handles
 from goldcrestproxy.wire import Pipe
 
@@ -44,10 +45,22 @@
 class TransferError(errors.GoldcrestProxyError):
     """A transfer ended without a complete answer."""
 
-    def __init__(self, stage: Stage, curl_code: int, text: str) -> None:
-        """Create an error; ``curl_code`` is libcurl's, 0 if it has none."""
+    def __init__(
+        self,
+        stage: Stage,
+        curl_code: int,
+        text: str,
+        *,
+        mismatched: bool = False,
+    ) -> None:
+        """Create an error.
+
+        :param curl_code: libcurl's, 0 if it has none
+        :param mismatched: whether an answer to another request arrived
+        """
         self.stage = stage
         self.curl_code = curl_code
+        self.mismatched = mismatched
         super().__init__(f"{text} (curl error {curl_code}, {stage.value})")
 
     @property
@@ -86,7 +99,7 @@
         body: Pipe | None,
         body_bytes: int,
         new_connection: bool,
-        used_ports: set[int],
+        connections: open_connections.Connections,
         may_send: ty.Callable[[], bool],
         configure: ty.Callable[[pycurl.Curl], None] | None = None,
         expected_header: tuple[str, str] | None = None,
@@ -101,7 +114,7 @@
         :param body: the request body, or None
         :param body_bytes: length of the body, -1 if unknown
         :param new_connection: do not reuse a connection
-        :param used_ports: local ports of the connections used so far
+        :param connections: the connections used so far
         :param may_send: called right before the first byte is sent; returning
             False aborts the transfer
         :param configure: sets further options of the libcurl handle
@@ -139,10 +152,15 @@
         self._body = body
         self._body_bytes = body_bytes
         self._new_connection = new_connection
-        self._used_ports = used_ports
+        self._connections = connections
+        # Of a new connection, -1 for one that was used before.
+        self._socket_fd = -1
+        # Whether the connection that libcurl chose had unread bytes.
+        self._unclean_connection = False
         self._may_send = may_send
         self._headers = httputil.HTTPHeaders()
         self._status = 0
+        self._head_complete = False
         self._curl: pycurl.Curl | None = None
         self._unsent = b""
         self._cancelled = False
@@ -160,23 +178,38 @@
         Sets ``head`` and ``answer_body`` to the answer, or to a TransferError.
         """
         self._request.prepare_curl_callback = self._configure_curl
-        if not await self._take_handle():
+        while await self._take_handle():
+            self.started = True
+            error = await self._fetch()
+            if not self._unclean_connection:
+                break
+            self._unclean_connection = False
+            self._new_connection = True
+        else:
             self._fail(0, "cancelled, or no handle became free in time")
             return
-        self.started = True
+        if error is not None:
+            self._fail(*error)
+            return
+        if not self._head_complete:
+            # libcurl reports a success here.
+            self._fail(0, "the answer broke off in its head")
+            return
+        self._set_head()
+        self.answer_body.finish()
+
+    async def _fetch(self) -> tuple[int, str] | None:
+        """Run the transfer once; return libcurl's error, None without one."""
         try:
             self._fetched = self._handles.fetch(self._request)
             await self._fetched
         except curl_httpclient.CurlError as error:
-            self._fail(error.errno, str(error.message))
-            return
+            return error.errno, str(error.message)
         except Exception as error:
-            self._fail(0, str(error))
-            return
+            return 0, str(error)
         finally:
             self._curl = None
-        self._set_head()
-        self.answer_body.finish()
+        return None
 
     def cancel(self) -> None:
         """Abort the transfer and close its connection."""
@@ -195,6 +228,7 @@
             return False
         turn = self._turn = self._handles.take()
         if turn.done():
+            self._request.request_timeout = max(0.001, self._left_s())
             return True
         queue_s = self._left_s() - self._queue_reserve_s
         await asyncio.wait([turn], timeout=queue_s)
@@ -217,7 +251,9 @@
         return self._deadline_s - time.monotonic()
 
     def _fail(self, code: int, text: str) -> None:
-        error = TransferError(self.stage, code, text)
+        error = TransferError(
+            self.stage, code, text, mismatched=self.mismatched
+        )
         if not self.head.done():
             self.head.set_exception(error)
             self.head.exception()
@@ -228,6 +264,8 @@
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.FRESH_CONNECT, int(self._new_connection))
         curl.setopt(pycurl.MAXAGE_CONN, CONNECTION_IDLE_S_MAX)
+        self._socket_fd = -1
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body_chunk)
@@ -246,6 +284,11 @@
         curl.setopt(pycurl.READFUNCTION, self._next_body_chunk)
         self._body.on_write = self._resume_send
 
+    def _on_socket(self, socket_fd: int, _: int) -> int:
+        """Remember the socket of a new connection."""
+        self._socket_fd = socket_fd
+        return pycurl.SOCKOPT_OK
+
     def _before_sending(
         self,
         peer_address: str,
@@ -257,8 +300,12 @@
             return pycurl.PREREQFUNC_ABORT
         elapsed_s = time.monotonic() - self._started_s
         self.connect_s = elapsed_s - self.queued_s
-        self.reused = local_port in self._used_ports
-        self._used_ports.add(local_port)
+        self.reused = self._socket_fd < 0
+        if not self.reused:
+            self._connections.record(local_port, self._socket_fd)
+        elif not self._connections.is_clean(local_port):
+            self._unclean_connection = True
+            return pycurl.PREREQFUNC_ABORT
         if not self._may_send():
             return pycurl.PREREQFUNC_ABORT
         self.stage = Stage.SENT
@@ -271,6 +318,7 @@
         text = line.decode("latin1").rstrip("\r\n")
         if text.startswith("HTTP/"):
             self._headers.clear()
+            self._head_complete = False
             status = text.split(" ", 2)[1]
             if len(status) != STATUS_DIGITS:
                 # libcurl reads only the first digits. Abort, see below.
@@ -282,6 +330,8 @@
             # Makes libcurl abort the transfer and close its connection.
             self.mismatched = True
             return -1
+        else:
+            self._head_complete = self._status >= FINAL_STATUS_MIN
         return None
 
     def _is_expected_answer(self) -> bool:
--- a/tests/entries/test_coordinated_target.py
+++ b/tests/entries/test_coordinated_target.py
@@ -137,3 +137,39 @@
         exchange.cancel()
 
     assert asyncio.run(serve_queued(cancel)) is False
+
+
+def test_an_earlier_refusal_written_again_is_not_taken_for_not_run():
+    async def respond(server, number, reader, writer):
+        writer.write(
+            b"HTTP/1.1 503 Full\r\nGoldcrest-Request-Id: r0\r\n"
+            b"Goldcrest-Outcome: not-run\r\nGoldcrest-Reason: shed\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        await writer.drain()
+        return True
+
+    async def scenario():
+        server = raw_server.RawServer(respond)
+        async with server.running() as address:
+            state = pool_state()
+            state.targets["t0"].address = address
+            link = types.SimpleNamespace(state=state, has_lease=True)
+            target = coordinated_target.CoordinatedTarget(
+                state.targets["t0"],
+                link,
+                None,
+                concurrency.ConcurrencyLimit(slots=1, cold_concurrency=1),
+                10,
+                time.monotonic,
+                "h",
+            )
+            await target.serve(
+                wire.Exchange(relay_request()),
+                FINGERPRINT,
+                time.monotonic() + 5,
+            )
+
+    with pytest.raises(errors.RefusedError) as refused:
+        asyncio.run(scenario())
+    assert refused.value.code == results.ANSWER_MISMATCHED
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -166,12 +166,14 @@
     sent: int = 0
     deadlines_s: list = attrs.field(factory=list)
     targets: list = attrs.field(factory=list)
+    new_connections: list = attrs.field(factory=list)
     on_send: object = lambda: None
     on_connect: object = lambda: None
 
     async def send(self, _request, _body, target, *, on_sent, **options):
         self.deadlines_s.append(options["deadline_s"])
         self.targets.append(target.name)
+        self.new_connections.append(options["new_connection"])
         outcome = self.outcomes.pop(0)
         if outcome is NO_CONNECTION:
             await asyncio.Event().wait()
@@ -260,6 +262,19 @@
     assert sender.sent == 2
 
 
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
+def test_retry_at_the_same_target_uses_a_new_connection(kind):
+    """An earlier refusal that is written again has the same id."""
+    fleet = FakeFleet(kind)
+    refused = fleet_retries.NotRun(
+        text="refused", misdirected=True, refused=True
+    )
+    sender = FakeSender(fleet, [failed(refused), ANSWER])
+    assert dispatch(fleet, sender) is ANSWER
+    assert sender.targets == ["t1", "t1"]
+    assert sender.new_connections == [False, True]
+
+
 def test_non_idempotent_request_is_not_retried():
     fleet = FakeFleet(UNSAFE)
     sender = FakeSender(
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -50,12 +50,20 @@
     sender: entries.Sender
     target: fleet_map.TrackedTarget
 
-    async def send(self, left_s, request=REQUEST, is_allowed=lambda: True):
+    async def send(
+        self,
+        left_s,
+        request=REQUEST,
+        is_allowed=lambda: True,
+        *,
+        new_connection=False,
+    ):
         return await self.sender.send(
             request,
             replay.ReplayableBody(request.body),
             self.target,
             idempotent=False,
+            new_connection=new_connection,
             deadline_s=time.monotonic() + left_s,
             is_allowed=is_allowed,
             on_sent=lambda _: None,
@@ -420,3 +428,99 @@
         await writing
 
     run(echo, scenario)
+
+
+def answer_of(request_id, *, refused=False):
+    head = b"HTTP/1.1 200 OK\r\n"
+    if refused:
+        head = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+    body = f"of {request_id}".encode()
+    return (
+        head
+        + f"Attempt-Id: {request_id}\r\n".encode()
+        + b"Content-Length: %d\r\n\r\n" % len(body)
+        + body
+    )
+
+
+def request_of(request_id):
+    return attrs.evolve(
+        REQUEST,
+        request_id=request_id,
+        headers=(("Attempt-Id", request_id),),
+    )
+
+
+def repeating(*, refused, delay_s):
+    """Answer each request; write the first answer once more, later."""
+
+    async def respond(server, number, reader, writer):
+        request_id = re.search(
+            r"Attempt-Id: (\w+)", server.requests[-1].decode()
+        ).group(1)
+        first = len(server.requests) == 1
+        writer.write(answer_of(request_id, refused=refused and first))
+        await writer.drain()
+        if first:
+            await asyncio.sleep(delay_s)
+            writer.write(answer_of(request_id, refused=refused))
+            await writer.drain()
+        return True
+
+    return respond
+
+
+@pytest.mark.parametrize("refused", [False, True])
+@pytest.mark.parametrize("delay_s", [0, 0.05])
+def test_a_connection_with_a_second_answer_is_not_used_again(refused, delay_s):
+    async def scenario(attempts):
+        with contextlib.suppress(sending.SendError):
+            await attempts.send(1.0, request_of("r1"))
+        await asyncio.sleep(0.15)
+        answer = await attempts.send(1.0, request_of("r2"))
+        assert answer.body == b"of r2"
+        assert attempts.server.connections == 2
+
+    run(repeating(refused=refused, delay_s=delay_s), scenario)
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_an_earlier_answer_written_again_answers_no_other_request(refused):
+    """It arrives when the connection is in use again."""
+
+    async def respond(server, number, reader, writer):
+        request_id = f"r{len(server.requests)}"
+        if number == 1:
+            request_id = "r1"
+        writer.write(answer_of(request_id, refused=refused))
+        await writer.drain()
+        return True
+
+    async def scenario(attempts):
+        with contextlib.suppress(sending.SendError):
+            await attempts.send(1.0, request_of("r1"))
+        with pytest.raises(sending.SendError) as caught:
+            await attempts.send(1.0, request_of("r2"))
+        assert_may_have_run(caught.value.failure, timed_out=False)
+        assert attempts.server.connections == 1
+        with contextlib.suppress(sending.SendError):
+            await attempts.send(1.0, request_of("r3"))
+        assert attempts.server.connections == 2
+
+    run(respond, scenario)
+
+
+def test_an_attempt_can_be_made_on_a_new_connection():
+    async def respond(server, number, reader, writer):
+        writer.write(answer_of("r1"))
+        await writer.drain()
+        return True
+
+    async def scenario(attempts):
+        for _ in range(2):
+            await attempts.send(1.0)
+        assert attempts.server.connections == 1
+        await attempts.send(1.0, new_connection=True)
+        assert attempts.server.connections == 2
+
+    run(respond, scenario)
--- a/tests/targets/test_transfer.py
+++ b/tests/targets/test_transfer.py
@@ -278,3 +278,31 @@
         assert head.status == 200
 
     run(respond, scenario)
+
+
+@pytest.mark.parametrize(
+    "raw_head",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 20",
+    ],
+)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_head_that_breaks_off_is_no_answer(raw_head, method):
+    async def respond(server, number, reader, writer):
+        writer.write(raw_head)
+        await writer.drain()
+        return False
+
+    async def scenario(server, client):
+        with pytest.raises(targets.TransferError) as found:
+            await send(client, method, b"x" if method == "POST" else None)
+        assert found.value.stage is targets.Stage.SENT
+
+    run(respond, scenario)
--- a/tests/targets/test_transfer_queue.py
+++ b/tests/targets/test_transfer_queue.py
@@ -11,6 +11,7 @@
 from tornado import httpclient
 
 from goldcrestproxy import targets
+from goldcrestproxy.targets import connections as open_connections
 
 
 async def no_answer(server, number, reader, writer):
@@ -216,7 +217,7 @@
             body=None,
             body_bytes=0,
             new_connection=False,
-            used_ports=set(),
+            connections=open_connections.Connections(),
             may_send=lambda: True,
         )
         task = asyncio.create_task(ended.run())
