Keep in mind which targets have left, also over a change of the leader

What callers could see: requests sent to a target that had said goodbye, for up to three heartbeat intervals, after a control host was restarted.

A target that leaves is removed from the replicated state once it owns no keys. Only the leader that served its goodbye still knew of it, in memory. A heartbeat from before the goodbye that arrives seconds late, at another leader, registered the target again.

The state keeps the last incarnation of the latest 1,000 targets that were removed.

Before: both cases of test_a_late_heartbeat_does_not_bring_back_a_target_that_left failed.

--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -96,7 +96,6 @@
         self._losses = target_losses.TargetLosses(
             replica, self._views, settings.heartbeat_ms / 1000
         )
-        self._deregistered: dict[str, int] = {}
         self._holds_assumed = False
 
     @property
@@ -206,7 +205,6 @@
                 "registry: deregistration of unknown target %s", call.target
             )
             return registry.Accepted()
-        self._deregistered[call.target] = registered.incarnation
         await self._replica.propose(
             registry.LoseTarget(
                 target=call.target,
@@ -256,12 +254,11 @@
 
     def _is_stale(self, heartbeat: registry.Heartbeat, now_s: float) -> bool:
         """Whether a heartbeat is out of order or of an ended process."""
-        if self._deregistered.get(heartbeat.target) == heartbeat.incarnation:
-            registered = self._registry.targets.get(heartbeat.target)
-            if registered is None:
-                return True
         registered = self._registry.targets.get(heartbeat.target)
         if registered is None:
+            departed = self._registry.departed.get(heartbeat.target)
+            if departed is not None and heartbeat.incarnation <= departed:
+                return True
             return self._is_superseded(heartbeat)
         view = self._views.get(heartbeat.target)
         if heartbeat.incarnation < registered.incarnation:
--- a/src/goldcrestproxy/registry/state.py
+++ b/src/goldcrestproxy/registry/state.py
@@ -15,6 +15,8 @@
 from goldcrestproxy.registry import keyspace
 
 LOST_TARGETS_MAX: ty.Final = 1_000
+# Far more than may leave while a late heartbeat of one is on its way.
+DEPARTED_TARGETS_MAX: ty.Final = 1_000
 
 
 @attrs.define(kw_only=True)
@@ -51,6 +53,8 @@
     zones_out: list[str] = attrs.field(factory=list)
     targets: dict[str, RegisteredTarget] = attrs.field(factory=dict)
     keyspaces: dict[str, keyspace.Keyspace] = attrs.field(factory=dict)
+    # Last incarnation of each removed target, the latest removal last.
+    departed: dict[str, int] = attrs.field(factory=dict)
     # Incremented by each change of items, targets or zones.
     revision: int = 0
     # The revision of the last change of items.
@@ -173,7 +177,7 @@
                 and other.incarnation < command.incarnation
             ):
                 self._free_all(other)
-                del self.targets[other.target]
+                self._remove(other)
 
     def _mark_lost(self, command: commands.LoseTarget) -> None:
         target = self.targets.get(command.target)
@@ -191,12 +195,20 @@
         )
         for target in list(self.targets.values()):
             if target.gone and target.target not in owners:
-                del self.targets[target.target]
+                self._remove(target)
         lost = [name for name, t in self.targets.items() if t.lost]
         for name in lost[: max(0, len(lost) - LOST_TARGETS_MAX)]:
             if name not in owners:
                 del self.targets[name]
 
+    def _remove(self, target: RegisteredTarget) -> None:
+        """Remove a target whose process has ended."""
+        del self.targets[target.target]
+        self.departed.pop(target.target, None)
+        self.departed[target.target] = target.incarnation
+        if len(self.departed) > DEPARTED_TARGETS_MAX:
+            del self.departed[next(iter(self.departed))]
+
     def _lay_out(self, index: int, command: commands.LayOutKeys) -> None:
         if command.service in self.keyspaces:
             return
--- a/tests/control/test_registrar.py
+++ b/tests/control/test_registrar.py
@@ -10,167 +10,30 @@
 import asyncio
 import random
 
-import attrs
 import pytest
+import simulated_targets
 
 from goldcrestproxy import control
-from goldcrestproxy.control import registrar
 from goldcrestproxy import errors
 from goldcrestproxy import registry
 from goldcrestproxy.routing import demand
 from goldcrestproxy.routing import key_placement
 from goldcrestproxy import wire
 
-SETTINGS = registrar.RegistrarSettings(heartbeat_ms=870, hold_ms=3500)
-SERVICE = registry.Item(
-    key=registry.ItemKey(kind=registry.ItemKind.SERVICE, name="desk"),
-    version=1,
-    value=registry.Service(
-        health_path="/",
-        connections_max=10,
-        cold_ms=3000,
-        cold_requests_per_s=5.0,
-        keyed=True,
-    ),
-    source="{}",
-)
-
-
-@attrs.define
-class FakeReplica:
-    """Commits immediately; successive leaders share its state."""
-
-    state: control.ControlState = attrs.field(factory=control.ControlState)
-    now_s: float = 1000.0
-    leading: bool = True
-
-    def clock(self):
-        return self.now_s
-
-    def has_leader_lease(self):
-        return self.leading
-
-    async def propose(self, command):
-        if not self.leading:
-            raise errors.NotLeaderError("")
-        return self.state.apply(self.state.applied_index + 1, command)
-
-
-@attrs.define
-class SimulatedTarget:
-    """A target that follows the heartbeat protocol."""
-
-    name: str
-    address: str
-    clock_slowdown: float
-    incarnation: int = 1
-    sequence: int = 0
-    # Last key and token of each held range, by first key.
-    held: dict[int, tuple[int, int]] = attrs.field(factory=dict)
-    until_s: float = 0.0
-    released: list[registry.ReleasedRange] = attrs.field(factory=list)
-    seen_tokens: dict[int, int] = attrs.field(factory=dict)
-    leaving: bool = False
-    cold_ms: int = 0
-
-    def heartbeat(self, now_s):
-        self.expire(now_s)
-        self.sequence += 1
-        return registry.Heartbeat(
-            target=self.name,
-            incarnation=self.incarnation,
-            service="desk",
-            zone="zone-a",
-            address=self.address,
-            slots=4,
-            leaving=self.leaving,
-            cold_ms=self.cold_ms,
-            sequence=self.sequence,
-            held=tuple(
-                registry.HeldRange(first_key=first, last_key=last, token=token)
-                for first, (last, token) in self.held.items()
-            ),
-            released=tuple(self.released),
-        )
-
-    def apply_answer(self, answer, sent_s, now_s):
-        self.released.clear()
-        if answer.ranges is None:
-            return
-        granted = {}
-        for row in answer.ranges:
-            keys = range(row.first_key, row.last_key + 1)
-            if all(self.seen_tokens.get(k, 0) <= row.token for k in keys):
-                granted[row.first_key] = (row.last_key, row.token)
-                self.seen_tokens.update(dict.fromkeys(keys, row.token))
-        kept = {
-            k for f, (last, _) in granted.items() for k in range(f, last + 1)
-        }
-        for first, (last, token) in self.held.items():
-            lost = [k for k in range(first, last + 1) if k not in kept]
-            if lost:
-                self.released.append(
-                    registry.ReleasedRange(
-                        first_key=min(lost),
-                        last_key=max(lost),
-                        handover=f"{self.name}-{token}",
-                    )
-                )
-        self.held = granted
-        hold_s = answer.hold_ms / 1000 * (1 + self.clock_slowdown)
-        self.until_s = sent_s + hold_s
-        self.expire(now_s)
-
-    def expire(self, now_s):
-        if now_s >= self.until_s:
-            self.held.clear()
-
-    def keys(self, now_s):
-        self.expire(now_s)
-        return {
-            k for f, (last, _) in self.held.items() for k in range(f, last + 1)
-        }
-
-    def restart(self):
-        self.incarnation += 1
-        self.sequence = 0
-        self.held.clear()
-        self.released.clear()
-        self.seen_tokens.clear()
-
 
 @pytest.fixture
 def replica():
-    fake = FakeReplica()
-    fake.state.apply(1, registry.ChangeItems(changed=(SERVICE,)))
+    fake = simulated_targets.FakeReplica()
+    fake.state.apply(
+        1, registry.ChangeItems(changed=(simulated_targets.SERVICE,))
+    )
     return fake
 
 
-def new_leader(replica, seed=1):
-    return registrar.Registrar(replica, replica, SETTINGS, random.Random(seed))
-
-
-def targets(count):
-    return [
-        SimulatedTarget(f"t{n}", f"10.0.0.{n}:80", 0.02 if n % 2 else 0.0)
-        for n in range(count)
-    ]
-
-
-async def send_heartbeat(leader, replica, target, *, delay_s=0.0, lost=False):
-    sent_s = replica.now_s
-    report = target.heartbeat(sent_s)
-    replica.now_s += delay_s
-    answer = await leader.serve(report)
-    if not lost:
-        target.apply_answer(answer, sent_s, replica.now_s)
-    return answer
-
-
 async def run_rounds(leader, replica, simulated, rounds=4):
     for _ in range(rounds):
         for target in simulated:
-            await send_heartbeat(leader, replica, target)
+            await simulated_targets.send_heartbeat(leader, replica, target)
             replica.now_s += 0.87 / len(simulated)
         await leader._tick()
 
@@ -185,8 +48,10 @@
 
 
 def test_all_keys_are_assigned_after_a_few_heartbeats(replica):
-    simulated = targets(5)
-    asyncio.run(run_rounds(new_leader(replica), replica, simulated))
+    simulated = simulated_targets.targets(5)
+    asyncio.run(
+        run_rounds(simulated_targets.new_leader(replica), replica, simulated)
+    )
     assert (
         len(assert_one_holder(simulated, replica.now_s)) == registry.KEY_COUNT
     )
@@ -194,8 +59,8 @@
 
 def test_a_crashed_owners_keys_wait_for_the_end_of_its_hold(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(4)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(4)
         await run_rounds(leader, replica, simulated)
         crashed, others = simulated[1], simulated[2:] + simulated[:1]
         until_s = crashed.until_s
@@ -212,9 +77,11 @@
 
 def test_a_new_leader_waits_out_holds_it_did_not_see(replica):
     async def scenario():
-        simulated = targets(4)
-        await run_rounds(new_leader(replica), replica, simulated)
-        leader = new_leader(replica)
+        simulated = simulated_targets.targets(4)
+        await run_rounds(
+            simulated_targets.new_leader(replica), replica, simulated
+        )
+        leader = simulated_targets.new_leader(replica)
         others = simulated[1:]
         silent = simulated[0]
         while replica.now_s < silent.until_s:
@@ -226,13 +93,15 @@
 
 def test_a_leaving_target_hands_everything_over(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(4)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(4)
         await run_rounds(leader, replica, simulated)
         simulated[0].leaving = True
-        answer = await send_heartbeat(leader, replica, simulated[0])
+        answer = await simulated_targets.send_heartbeat(
+            leader, replica, simulated[0]
+        )
         assert answer.ranges == ()
-        await send_heartbeat(leader, replica, simulated[0])
+        await simulated_targets.send_heartbeat(leader, replica, simulated[0])
         handed = replica.state.registry.keyspaces["desk"].handovers
         assert set(handed.values()) == {"t0-3"} or handed
         await run_rounds(leader, replica, simulated[1:], rounds=2)
@@ -245,12 +114,12 @@
 
 def test_a_late_heartbeat_of_a_dead_incarnation_changes_nothing(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(3)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(3)
         await run_rounds(leader, replica, simulated)
         late = simulated[0].heartbeat(replica.now_s)
         simulated[0].restart()
-        await send_heartbeat(leader, replica, simulated[0])
+        await simulated_targets.send_heartbeat(leader, replica, simulated[0])
         before = replica.state.applied_index
         answer = await leader.serve(late)
         assert answer.ranges is None
@@ -259,10 +128,78 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("keys", [True, False])
+def test_a_late_heartbeat_does_not_bring_back_a_target_that_left(
+    replica, keys
+):
+    """The leader that served its goodbye was restarted since."""
+
+    async def scenario():
+        simulated = simulated_targets.targets(3)
+        leader = simulated_targets.new_leader(replica)
+        if keys:
+            await run_rounds(leader, replica, simulated)
+        else:
+            await simulated_targets.send_heartbeat(
+                leader, replica, simulated[0]
+            )
+        left = simulated[0]
+        late = left.heartbeat(replica.now_s)
+        await leader.serve(
+            registry.Goodbye(target=left.name, incarnation=left.incarnation)
+        )
+        await run_rounds(leader, replica, simulated[1:], rounds=6)
+        replica.state = control.ControlState.decode(replica.state.encode())
+        leader = simulated_targets.new_leader(replica)
+        answer = await leader.serve(late)
+        assert answer.ranges in (None, ())
+        assert not any(
+            target.accepts_work
+            for target in replica.state.registry.targets.values()
+            if target.target == left.name
+        )
+        left.restart()
+        await simulated_targets.send_heartbeat(leader, replica, left)
+        assert replica.state.registry.targets[left.name].accepts_work
+
+    asyncio.run(scenario())
+
+
+def test_a_target_that_turns_cold_again_before_it_was_warm_is_registered(
+    replica,
+):
+    """Entry hosts take it for warm once the first cold time is over."""
+
+    async def scenario():
+        leader = simulated_targets.new_leader(replica)
+        (target,) = simulated_targets.targets(1)
+
+        async def registered_cold_ms(cold_ms):
+            target.cold_ms = cold_ms
+            before = replica.state.applied_index
+            await simulated_targets.send_heartbeat(leader, replica, target)
+            replica.now_s += 0.87
+            record = replica.state.registry.targets[target.name]
+            # A new index starts the cold time at the entry hosts.
+            return record.cold_ms if record.cold_index > before else None
+
+        assert await registered_cold_ms(3000) == 3000
+        assert await registered_cold_ms(2130) is None
+        assert await registered_cold_ms(2900) == 2900
+        assert await registered_cold_ms(2030) is None
+        leader = simulated_targets.new_leader(replica)
+        assert await registered_cold_ms(1160) == 1160
+        assert await registered_cold_ms(290) is None
+        await registered_cold_ms(0)
+        assert replica.state.registry.targets[target.name].cold_ms == 0
+
+    asyncio.run(scenario())
+
+
 def test_an_answer_that_another_overtook_grants_nothing(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(2)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(2)
         await run_rounds(leader, replica, simulated)
         early = simulated[0].heartbeat(replica.now_s)
         later = simulated[0].heartbeat(replica.now_s)
@@ -274,12 +211,14 @@
 
 def test_nothing_is_granted_without_leadership(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(2)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(2)
         await run_rounds(leader, replica, simulated)
         replica.leading = False
         with pytest.raises(errors.NotLeaderError):
-            await send_heartbeat(leader, replica, simulated[0])
+            await simulated_targets.send_heartbeat(
+                leader, replica, simulated[0]
+            )
 
     asyncio.run(scenario())
 
@@ -288,16 +227,18 @@
     """The hold expired before the target received the release request."""
 
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(3)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(3)
         await run_rounds(leader, replica, simulated)
         replica.state.apply(
             replica.state.applied_index + 1,
             registry.SetZone(zone="zone-a", out=True),
         )
-        await send_heartbeat(leader, replica, simulated[0], lost=True)
+        await simulated_targets.send_heartbeat(
+            leader, replica, simulated[0], lost=True
+        )
         replica.now_s += 4.0
-        await send_heartbeat(leader, replica, simulated[0])
+        await simulated_targets.send_heartbeat(leader, replica, simulated[0])
         space = replica.state.registry.keyspaces["desk"]
         assert space.owned_by("t0") == []
 
@@ -307,11 +248,13 @@
 @pytest.mark.parametrize("count", [1, 21, 200])
 def test_response_size_is_limited(replica, count):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(count)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(count)
         await run_rounds(leader, replica, simulated, rounds=3)
         for target in simulated:
-            answer = await send_heartbeat(leader, replica, target)
+            answer = await simulated_targets.send_heartbeat(
+                leader, replica, target
+            )
             text = [
                 [r.first_key, r.last_key, r.token, r.handover]
                 for r in answer.ranges
@@ -331,11 +274,13 @@
             ["beat"] * 8 + ["lost", "slow", "crash", "zone", "tick", "leave"]
         ):
             case "beat":
-                await send_heartbeat(leader, replica, target)
+                await simulated_targets.send_heartbeat(leader, replica, target)
             case "lost":
-                await send_heartbeat(leader, replica, target, lost=True)
+                await simulated_targets.send_heartbeat(
+                    leader, replica, target, lost=True
+                )
             case "slow":
-                await send_heartbeat(
+                await simulated_targets.send_heartbeat(
                     leader, replica, target, delay_s=rng.uniform(0, 4)
                 )
             case "crash":
@@ -351,14 +296,14 @@
                 target.leaving = rng.random() < 0.2
 
     async def scenario():
-        leader = new_leader(replica, seed)
-        simulated = targets(4)
+        leader = simulated_targets.new_leader(replica, seed)
+        simulated = simulated_targets.targets(4)
         await run_rounds(leader, replica, simulated)
         for _ in range(250):
             replica.now_s += rng.uniform(0, 0.4)
             await step(leader, simulated)
             if rng.random() < 0.03:
-                leader = new_leader(replica, rng.random())
+                leader = simulated_targets.new_leader(replica, rng.random())
             assert_one_holder(simulated, replica.now_s)
 
     asyncio.run(scenario())
@@ -369,8 +314,8 @@
     monkeypatch.setattr(key_placement, "OWNED_BLOCKS_MAX", 100)
 
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(4)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(4)
         await run_rounds(leader, replica, simulated)
         for target in simulated:
             work_ms = 10.0 if target.name == "t0" else 100.0
@@ -391,8 +336,8 @@
 
 def test_hot_block_is_split_and_distributed(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = targets(6)
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.targets(6)
         await run_rounds(leader, replica, simulated)
         space = replica.state.registry.keyspaces["desk"]
         hot = space.firsts[10]
@@ -416,9 +361,9 @@
     """Shares computed while it was lost would withdraw all its blocks."""
 
     async def scenario():
-        leader = new_leader(replica)
+        leader = simulated_targets.new_leader(replica)
         simulated = [
-            SimulatedTarget(
+            simulated_targets.SimulatedTarget(
                 name=f"i-{n}", address=f"10.0.0.{n}:80", clock_slowdown=0.0
             )
             for n in range(4)
@@ -481,9 +426,9 @@
 
 def test_a_target_that_names_a_limit_owns_fewer_keys(replica):
     async def scenario():
-        leader = new_leader(replica)
+        leader = simulated_targets.new_leader(replica)
         simulated = [
-            SimulatedTarget(
+            simulated_targets.SimulatedTarget(
                 name=f"i-{n}", address=f"10.0.0.{n}:80", clock_slowdown=0.0
             )
             for n in range(4)
@@ -532,8 +477,8 @@
     """Two crashes are detected by a restart, the third by silence."""
 
     async def scenario():
-        leader = new_leader(replica)
-        simulated = SimulatedTarget(
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.SimulatedTarget(
             name="i-1",
             address="10.0.0.1:80",
             clock_slowdown=0.0,
@@ -559,8 +504,8 @@
     """It was in flight at three crashes that another request caused."""
 
     async def scenario():
-        leader = new_leader(replica)
-        simulated = SimulatedTarget(
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.SimulatedTarget(
             name="i-1", address="10.0.0.1:80", clock_slowdown=0.0
         )
         await leader.serve(simulated.heartbeat(replica.now_s))
@@ -586,8 +531,8 @@
     """Targets start again before the entry host's report arrives."""
 
     async def scenario():
-        leader = new_leader(replica)
-        simulated = SimulatedTarget(
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.SimulatedTarget(
             name="i-1", address="10.0.0.1:80", clock_slowdown=0.0
         )
         await leader.serve(simulated.heartbeat(replica.now_s))
@@ -607,8 +552,8 @@
 
 def test_breaks_without_a_crash_quarantine_nothing(replica):
     async def scenario():
-        leader = new_leader(replica)
-        simulated = SimulatedTarget(
+        leader = simulated_targets.new_leader(replica)
+        simulated = simulated_targets.SimulatedTarget(
             name="i-1", address="10.0.0.1:80", clock_slowdown=0.0
         )
         for _ in range(20):
@@ -626,7 +571,7 @@
 
 def beating_targets(count):
     return [
-        SimulatedTarget(
+        simulated_targets.SimulatedTarget(
             name=f"i-{n}", address=f"10.0.0.{n}:80", clock_slowdown=0.0
         )
         for n in range(count)
@@ -637,7 +582,7 @@
     """Its heartbeats never say so, also not to the next leader."""
 
     async def scenario():
-        leader = new_leader(replica)
+        leader = simulated_targets.new_leader(replica)
         simulated = beating_targets(4)
         await lay_out(leader, replica, simulated)
         space = replica.state.registry.keyspaces["desk"]
@@ -647,7 +592,9 @@
         await beat_for(leader, replica, simulated, 4.0)
         assert replica.state.registry.targets["i-0"].leaving
         assert space.owned_by("i-0") == []
-        await beat_for(new_leader(replica), replica, simulated, 15.0)
+        await beat_for(
+            simulated_targets.new_leader(replica), replica, simulated, 15.0
+        )
         assert replica.state.registry.targets["i-0"].leaving
         assert space.owned_by("i-0") == []
         simulated[0].restart()
@@ -662,7 +609,7 @@
     replica, resting, moved
 ):
     async def scenario():
-        leader = new_leader(replica)
+        leader = simulated_targets.new_leader(replica)
         simulated = beating_targets(4)
         await lay_out(leader, replica, simulated)
         space = replica.state.registry.keyspaces["desk"]
--- a/tests/registry/test_targets.py
+++ b/tests/registry/test_targets.py
@@ -6,6 +6,7 @@
 import pytest
 
 from goldcrestproxy import registry
+from goldcrestproxy.registry import state as registry_state
 
 FIRST = registry.RegisterTarget(
     target="t1",
@@ -110,3 +111,20 @@
     assert not state.is_eligible(state.targets["t1"])
     state.apply(4, registry.SetZone(zone="zone-a", out=False))
     assert state.is_eligible(state.targets["t1"])
+
+
+def test_only_the_latest_targets_that_left_are_kept_in_mind(monkeypatch):
+    monkeypatch.setattr(registry_state, "DEPARTED_TARGETS_MAX", 3)
+    state = registry.RegistryState()
+    for number in range(5):
+        name = f"t{number}"
+        state.apply(
+            2 * number,
+            attrs.evolve(FIRST, target=name, address=f"10.0.0.{number}:80"),
+        )
+        state.apply(
+            2 * number + 1,
+            registry.LoseTarget(target=name, incarnation=100, gone=True),
+        )
+    assert state.targets == {}
+    assert list(state.departed) == ["t2", "t3", "t4"]
