Register a target that turns cold again before it was warm

Its heartbeats went on to report cold times, because it turned cold again while its zone was taken out. The leader compared cold times only as zero or not, since they count down, so entry hosts took it for warm from 8.76 s on and sent 35 requests when the zone came back at 10.13 s.

The leader keeps the end of the registered cold time and registers the target again when a heartbeat names a later one.

A new leader registers cold targets once more, as it does not know the end.

--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -51,6 +51,9 @@
 # whose load exceeds its share by OVERLOAD_FACTOR.
 REBALANCE_INTERVAL_S: ty.Final = 2.5
 OVERLOAD_FACTOR: ty.Final = 1.5
+# A cold time that ends later by more than this is registered anew. Heartbeats
+# arrive with less variation.
+COLD_EXTENSION_S_MIN: ty.Final = 0.25
 # A lower incarnation is accepted once the registered one has been silent for
 # this long.
 OLDER_INCARNATION_SILENCE_S: ty.Final = 10.0
@@ -232,7 +235,7 @@
             )
             return registry.HeartbeatAnswer()
         view = self._update_view(heartbeat, received_s)
-        await self._register(heartbeat)
+        await self._register(heartbeat, view, received_s)
         keyspace = self._registry.keyspaces.get(heartbeat.service)
         if keyspace is None:
             return registry.HeartbeatAnswer()
@@ -296,7 +299,12 @@
         view.cold = heartbeat.cold_ms > 0
         return view
 
-    async def _register(self, heartbeat: registry.Heartbeat) -> None:
+    async def _register(
+        self,
+        heartbeat: registry.Heartbeat,
+        view: target_views.TargetView,
+        received_s: float,
+    ) -> None:
         """Commit the registration if the heartbeat changes it."""
         registered = self._registry.targets.get(heartbeat.target)
         # Its answers to requests may have said so before its heartbeats do.
@@ -315,7 +323,15 @@
             leaving=heartbeat.leaving or already_leaving,
             cold_ms=heartbeat.cold_ms,
         )
-        if registered is not None and not _differs(registered, registration):
+        cold_until_s = received_s + heartbeat.cold_ms / 1000
+        colder = (
+            heartbeat.cold_ms > 0
+            and cold_until_s
+            > view.registered_cold_until_s + COLD_EXTENSION_S_MIN
+        )
+        if registered is not None and not _differs(
+            registered, registration, colder=colder
+        ):
             return
         if (
             registered is None
@@ -334,6 +350,7 @@
         )
         crashes = self._losses.crashes_implied_by(registration)
         await self._replica.propose(registration)
+        view.registered_cold_until_s = cold_until_s
         for crash in crashes:
             await self._replica.propose(crash)
 
@@ -499,10 +516,14 @@
 def _differs(
     registered: registry.RegisteredTarget,
     registration: registry.RegisterTarget,
+    *,
+    colder: bool,
 ) -> bool:
     """Whether a registration differs from the registered target.
 
-    Cold times are compared only as zero or not zero, since they count down.
+    Cold times count down, so they are not compared.
+
+    :param colder: whether the cold time ends later than was registered
     """
     if registered.gone and registered.incarnation == registration.incarnation:
         return False
@@ -514,5 +535,6 @@
         or registered.zone != registration.zone
         or registered.address != registration.address
         or registered.slots != registration.slots
-        or (registered.cold_ms > 0) != (registration.cold_ms > 0)
+        or (registered.cold_ms > 0 and registration.cold_ms == 0)
+        or colder
     )
--- a/src/goldcrestproxy/control/target_views.py
+++ b/src/goldcrestproxy/control/target_views.py
@@ -30,6 +30,8 @@
     hold_end_s: float = 0.0
     sequence: int = -1
     cold: bool = False
+    # End of the cold time as last registered, which entry hosts go by.
+    registered_cold_until_s: float = 0.0
     # When the target was last requested to release blocks for balance.
     last_rebalance_s: float = 0.0
     # Blocks omitted from answers, and when the last grant of each expires.
