Measure the rate of requests correctly from the start of traffic

The rate of requests was the decayed count over the length of the window. It was too low by 28% always, and after 2.5 s of traffic 4 to 6 times too low. Shares of targets equalize the marginal delay: at a low rate nearly all requests belong to the fastest targets, so keys moved to these at first, and back as the rate seemed to rise.

The rate is derived from the decay and from the time measured, and counts as unknown for the first 2 s; shares are proportional meanwhile.

--- a/src/goldcrestproxy/routing/demand.py
+++ b/src/goldcrestproxy/routing/demand.py
@@ -11,6 +11,8 @@
 LONG_WINDOW_S: ty.Final = 12.0
 # Short enough to detect hot keys while they are hot.
 SHORT_WINDOW_S: ty.Final = 1.0
+# Until then, the rate of all requests counts as unknown.
+RATE_MEASURED_S_MIN: ty.Final = 2.0
 # A short-term rate replaces the long-term one from this many requests on, if
 # it is higher by more than this ratio.
 BURST_REQUESTS_MIN: ty.Final = 8.0
@@ -131,9 +133,12 @@
     _short_term: DecayingCounts = attrs.field(
         factory=lambda: DecayingCounts(SHORT_WINDOW_S)
     )
+    _first_count_s: float | None = None
 
     def count(self, block: int, requests: int, now_s: float) -> None:
         """Count requests for a block."""
+        if self._first_count_s is None:
+            self._first_count_s = now_s
         self._long_term.add(block, requests, now_s)
         self._short_term.add(block, requests, now_s)
 
@@ -169,8 +174,16 @@
         }
 
     def requests_per_s(self, now_s: float) -> float:
-        """Return the request rate of all blocks together."""
-        return self._long_term.total(now_s) / LONG_WINDOW_S
+        """Return the request rate of all blocks together, 0 if unknown."""
+        if self._first_count_s is None:
+            return 0.0
+        measured_s = now_s - self._first_count_s
+        if measured_s < RATE_MEASURED_S_MIN:
+            return 0.0
+        half_life_s = LONG_WINDOW_S / 2
+        counted_share = 1 - 0.5 ** (measured_s / half_life_s)
+        steady_requests = self._long_term.total(now_s) / counted_share
+        return steady_requests * math.log(2) / half_life_s
 
     def requests(self, now_s: float) -> dict[int, float]:
         """Return the decayed count of requests of each block."""
--- a/tests/routing/test_fleet_decisions.py
+++ b/tests/routing/test_fleet_decisions.py
@@ -375,3 +375,24 @@
         budgets.of("busy").record_request()
     taken = sum(budgets.of("failing").take(1.0, 1) for _ in range(1000))
     assert taken <= 4
+
+
+@pytest.mark.parametrize("elapsed_s", [2.5, 4.0, 10.0, 60.0])
+@pytest.mark.parametrize("rate_per_s", [50, 1200])
+def test_rate_of_requests_is_right_soon_after_traffic_starts(
+    elapsed_s, rate_per_s
+):
+    measured = demand.KeyDemand()
+    step_s = 0.1
+    for step in range(int(elapsed_s / step_s)):
+        now_s = 100.0 + step * step_s
+        measured.count(step % 7, int(rate_per_s * step_s), now_s)
+    found = measured.requests_per_s(100.0 + elapsed_s)
+    assert rate_per_s * 0.9 <= found <= rate_per_s * 1.15
+
+
+def test_no_rate_of_requests_is_known_at_first():
+    measured = demand.KeyDemand()
+    assert measured.requests_per_s(100.0) == 0
+    measured.count(1, 500, 100.0)
+    assert measured.requests_per_s(100.5) == 0
