Keep below what a target takes that resets connections when it is full

A request that is reset may have run, so an unsafe one ends as unknown and is lost to its caller, where a refusal would let them come back.

A reset counted as a failure of the target: the second one made the host refuse everything for the target for 0.25 to 2 s, then send as before.

A reset by a busy target lowers the number of requests at which this host sends (additive increase, multiplicative decrease), and does not count as a failure; a request beyond it is refused at once as not run, or goes to another target of a pool. The reset request itself stays "may have run", and is still reported in case that the target has crashed. In the own interface the coordinator's limit is lowered the same way.

--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -456,6 +456,8 @@
             self.limit.record_timeout()
             self._cancel_at_target(request)
         else:
+            if error.was_reset:
+                self.limit.record_reset(self.admission.running)
             self._broken_at_s[fingerprint] = self._clock()
 
     def _record_duration(
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -20,6 +20,7 @@
 from goldcrestproxy.routing import rest_time
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
+from goldcrestproxy.routing import target_room
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -71,10 +72,20 @@
         factory=request_limits.RequestLimit
     )
     rest: rest_time.RestTime = attrs.field(factory=rest_time.RestTime)
+    room: target_room.TargetRoom = attrs.field(
+        default=attrs.Factory(
+            lambda self: target_room.TargetRoom(slots=self.stats.slots),
+            takes_self=True,
+        )
+    )
     # When an answer to this host first said that the target leaves.
     leaving_s: float | None = None
     leaving_grace_s: float = leaving.keyed_grace_s(leaving.DRAIN_MS_DEFAULT)
 
+    def has_room(self, now_s: float) -> bool:
+        """Whether it is expected to have room for another request."""
+        return self.room.has_room(self.stats.requests_ahead(now_s), now_s)
+
     def has_left(self, now_s: float, *, keyed: bool) -> bool:
         """Whether it gets nothing more, by its answers to this host."""
         return not leaving.may_send(
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -151,7 +151,7 @@
             waited_s = self._clock() - started_s - transfer.queued_s
             if not denied:
                 self._record_failure(
-                    transfer, target, failure, waited_s * 1000
+                    transfer, target, error, failure, waited_s * 1000
                 )
             if transfer.started and not transfer.mismatched:
                 self._records.record_broken_run(target, request, body, failure)
@@ -242,6 +242,7 @@
         self,
         transfer: targets.Transfer,
         target: fleet_map.TrackedTarget,
+        error: targets.TransferError,
         failure: fleet_retries.Failure,
         waited_ms: float,
     ) -> None:
@@ -255,6 +256,12 @@
                 # Too short a time was left for an answer, so the time-out
                 # says nothing about the target.
                 return
+            case fleet_retries.MaybeRun() if (
+                error.was_reset
+                and not transfer.answered
+                and target.room.is_busy(target.stats.requests_ahead(now_s))
+            ):
+                self._records.record_full(target, now_s)
             case _:
                 target.stats.record_failure(now_s)
                 if _is_out_of_reach(transfer, failure):
--- a/src/goldcrestproxy/entries/target_records.py
+++ b/src/goldcrestproxy/entries/target_records.py
@@ -65,6 +65,20 @@
                 rest_ms=rest_ms,
             )
 
+    def record_full(
+        self, target: fleet_map.TrackedTarget, now_s: float
+    ) -> None:
+        """Apply a reset by a busy target, which may have had no room."""
+        requests = target.stats.requests_ahead(now_s)
+        target.room.record_reset(requests, now_s)
+        telemetry.log_event(
+            LOG,
+            "entries: a busy target reset a connection",
+            target=target.name,
+            incarnation=target.record.incarnation,
+            requests=round(requests),
+        )
+
     def record_leaving(
         self, target: fleet_map.TrackedTarget, now_s: float
     ) -> None:
--- a/src/goldcrestproxy/entries/target_selection.py
+++ b/src/goldcrestproxy/entries/target_selection.py
@@ -68,6 +68,7 @@
             # It may have been quarantined while it waited for the owner.
             await self._suspects.refuse_quarantined(state)
             self._refuse_if_too_late(state, target)
+            self._refuse_if_full(state, target)
             self._limits.refuse_beyond_limit(state, target)
             self._limits.refuse_beyond_cold_rate(state, target)
             if await self._limits.take_from_limit(state, target):
@@ -206,9 +207,34 @@
     def _with_room(
         self, targets: list[fleet_map.TrackedTarget]
     ) -> list[fleet_map.TrackedTarget]:
-        """Return the targets whose limits allow another request."""
+        """Return the targets that have room for another request."""
         now_s, hosts = self._clock(), self._fleet.entry_hosts
-        return [t for t in targets if t.request_limit.has_room(now_s, hosts)]
+        return [
+            target
+            for target in targets
+            if target.has_room(now_s)
+            and target.request_limit.has_room(now_s, hosts)
+        ]
+
+    def _refuse_if_full(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> None:
+        """Refuse a request whose connection a full target would reset.
+
+        :raises RefusedError: with half the target's queue time as Retry-After
+        """
+        now_s = self._clock()
+        if target.has_room(now_s):
+            return
+        wait_ms = target.stats.expected_wait_ms(now_s)
+        raise self._refusals.not_run(
+            state,
+            results.OVERLOADED,
+            f"target {target.name} has no room, its queue is {wait_ms:.0f} ms",
+            int(max(dispatch_refusals.SHED_RETRY_AFTER_MS, wait_ms / 2)),
+        )
 
     def _refuse_if_too_late(
         self,
--- a/src/goldcrestproxy/routing/concurrency.py
+++ b/src/goldcrestproxy/routing/concurrency.py
@@ -16,6 +16,8 @@
 JUMP_MS_MIN: ty.Final = 20.0
 JUMPS_BEFORE_RESET: ty.Final = 3
 SAMPLES_MIN: ty.Final = 10
+# The limit after a reset, relative to the requests that ran then.
+RESET_DECREASE_RATIO: ty.Final = 0.8
 
 
 @attrs.define
@@ -87,6 +89,20 @@
         if self._jumps >= JUMPS_BEFORE_RESET:
             self.reset_to_cold()
 
+    def record_reset(self, running: int) -> None:
+        """Lower the limit after the target reset a connection.
+
+        It may take fewer requests than it announced.
+
+        :param running: requests that ran at the target then
+        """
+        floor = min(self.cold_concurrency, self.slots)
+        if running <= floor:
+            # Other faults reset connections, too.
+            return
+        lowered = max(float(floor), running * RESET_DECREASE_RATIO)
+        self.limit = min(self.limit, lowered)
+
     def reset_to_cold(self) -> None:
         """Reset the limit to the cold limit.
 
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -68,6 +68,11 @@
         """Whether the transfer failed because it timed out."""
         return self.curl_code == pycurl.E_OPERATION_TIMEDOUT
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection was reset."""
+        return self.curl_code in (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
+
 
 class AnswerHead:
     """Status and headers of a target's answer."""
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -338,6 +338,20 @@
     assert caught.value.code == results.NO_TARGET
 
 
+def test_request_for_a_full_target_is_refused_at_once():
+    """The target would reset its connection."""
+    fleet = FakeFleet(UNSAFE)
+    load = target_choice.LoadReport(running=4, waiting=1, slots=4)
+    fleet.target.stats.record_load(load, 1.0)
+    fleet.target.room.record_reset(5, 1.0)
+    sender = FakeSender(fleet, [])
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(fleet, sender)
+    assert caught.value.code == results.OVERLOADED
+    assert caught.value.retry_after_ms > 0
+    assert sender.sent == 0
+
+
 def test_quarantined_request_is_refused_without_an_attempt():
     fleet = FakeFleet(registry.RouteKind.SAFE)
     sender = FakeSender(fleet, [ANSWER])
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -6,6 +6,8 @@
 import contextlib
 import random
 import re
+import socket
+import struct
 import time
 
 import attrs
@@ -524,3 +526,33 @@
         assert attempts.server.connections == 2
 
     run(respond, scenario)
+
+
+async def reset(server, number, reader, writer):
+    """Reset the connection, as a target does that is full."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    return False
+
+
+@pytest.mark.parametrize("busy", [True, False])
+def test_a_busy_target_that_resets_connections_has_no_room(busy):
+    async def scenario(attempts):
+        slots = attempts.target.stats.slots
+        for _ in range(target_choice.FAILURES_MAX):
+            now_s = time.monotonic()
+            load = target_choice.LoadReport(
+                running=slots, waiting=30 if busy else 0, slots=slots
+            )
+            if busy:
+                attempts.target.stats.record_load(load, now_s)
+            assert_may_have_run(await attempts.failure(1.0), timed_out=False)
+        now_s = time.monotonic()
+        assert attempts.target.stats.is_backing_off(now_s) is not busy
+        if busy:
+            attempts.target.stats.record_load(load, now_s)
+        assert attempts.target.has_room(now_s) is not busy
+
+    run(reset, scenario)
--- a/tests/routing/test_concurrency.py
+++ b/tests/routing/test_concurrency.py
@@ -80,3 +80,16 @@
             limit.record_completion("op", event)
         assert 1 <= limit.allowed <= slots
         assert limit.allowed <= before + 1
+
+
+def test_resets_of_a_busy_target_lower_the_limit_and_answers_raise_it():
+    limit = warm_limit(slots=10)
+    limit.record_reset(1)
+    assert limit.allowed == 10
+    limit.record_reset(8)
+    assert limit.allowed == 6
+    limit.record_reset(20)
+    assert limit.allowed == 6
+    for _ in range(60):
+        limit.record_completion("op", 10.0)
+    assert limit.allowed == 10
