Give a target another coordinator when the present one does not reach it

The leader took a coordinator's "not reachable" for the state of the target and kept the assignment.

While fewer than three hosts have tried, the target is revoked from one that did not reach it and given to one that is likely to: one that has not tried it, and that does not miss targets which others reach. After three hosts it counts as down and stays, so that targets that are really down do not go round. The decision is in routing/coordination.py.

--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -18,6 +18,7 @@
 from goldcrestproxy.control import sessions
 from goldcrestproxy import errors
 from goldcrestproxy.routing import leases
+from goldcrestproxy.routing import unreached_targets
 from goldcrestproxy import settings
 from goldcrestproxy import wire
 
@@ -80,6 +81,7 @@
         # Sessions whose end is proposed but not applied yet.
         self._ending_sessions: set[str] = set()
         self._lost_since_s: dict[str, float] = {}
+        self._unreached_targets = unreached_targets.UnreachedTargets()
         self._last_plan_inputs: object = None
         self._last_plan_s = 0.0
         self.sessions = sessions.Sessions()
@@ -265,11 +267,28 @@
         reports = planner.Reports(
             daemons=tuple(self.sessions.daemons()),
             measurements=self.sessions.measurements,
+            unreached_by=self._unreached_by(),
         )
         planned = planner.plan(self._replica.state, reports)
         if planned:
             await self._propose_all(planned)
 
+    def _unreached_by(self) -> dict[str, frozenset[str]]:
+        """Return by target the sessions that did not reach it."""
+        return self._unreached_targets.update(
+            (
+                unreached_targets.CoordinatedTarget(
+                    target=target.target,
+                    incarnation=target.incarnation,
+                    session=target.session,
+                    epoch=target.epoch,
+                    reachable=target.reachable,
+                )
+                for target in self._replica.state.targets.values()
+            ),
+            self._replica.clock(),
+        )
+
     def _plan_is_due(self) -> bool:
         """Return whether the inputs changed or the plan interval passed."""
         now_s = self._replica.clock()
--- a/src/goldcrestproxy/control/planner.py
+++ b/src/goldcrestproxy/control/planner.py
@@ -28,6 +28,8 @@
 
     daemons: tuple[coordination.Daemon, ...]
     measurements: dict[str, daemon_sessions.TargetMeasurement]
+    # Sessions that did not reach a target, by target.
+    unreached_by: dict[str, frozenset[str]] = attrs.field(factory=dict)
 
 
 def plan(
@@ -50,6 +52,10 @@
                 zone=target.zone,
                 session=target.session,
                 revoking=target.revoking,
+                reachable=target.reachable,
+                unreached_by=reports.unreached_by.get(
+                    target.target, frozenset()
+                ),
             )
             for target in state.targets.values()
         ],
--- a/src/goldcrestproxy/routing/coordination.py
+++ b/src/goldcrestproxy/routing/coordination.py
@@ -8,6 +8,8 @@
 import attrs
 
 CONCURRENT_MOVES_MAX: ty.Final = 4
+# Hosts that did not reach a target before it counts as down.
+UNREACHED_BY_MAX: ty.Final = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +32,9 @@
     zone: str
     session: str = ""
     revoking: bool = False
+    reachable: bool = True
+    # Sessions that recently coordinated the target and did not reach it.
+    unreached_by: frozenset[str] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -49,9 +54,11 @@
 
     A target's coordinator is in its zone if an eligible daemon runs there.
     Hosts that are stopping are never chosen, and hosts in a zone that is
-    out of service only if no others are left. Moves for balance are bounded.
+    out of service, or that did not reach the target, only if no others are
+    left. Moves for balance are bounded.
     """
     eligible = _eligible_daemons(daemons, zones_out)
+    missing = _sessions_missing_others(targets)
     counts = collections.Counter(
         target.session for target in targets if target.session
     )
@@ -59,12 +66,14 @@
     for target in targets:
         if target.session or not eligible:
             continue
-        chosen = _least_loaded(target.zone, eligible, counts)
+        chosen = _least_loaded(
+            target.zone, _candidates(target, eligible, missing), counts
+        )
         counts[chosen.session] += 1
         assign.setdefault(chosen.session, []).append(target.target)
     return CoordinationPlan(
         assign={name: tuple(names) for name, names in assign.items()},
-        revoke=_revocations(targets, daemons, eligible, counts),
+        revoke=_revocations(targets, daemons, eligible, missing, counts),
     )
 
 
@@ -76,6 +85,34 @@
     return in_service or running
 
 
+def _sessions_missing_others(
+    targets: ty.Sequence[TargetAssignment],
+) -> frozenset[str]:
+    """Return the sessions that did not reach targets which others reach.
+
+    They may not reach any target. Having lost theirs, they would otherwise
+    be the least loaded.
+    """
+    return frozenset[str]().union(
+        *(
+            target.unreached_by - {target.session}
+            for target in targets
+            if target.reachable
+        )
+    )
+
+
+def _candidates(
+    target: TargetAssignment,
+    eligible: list[Daemon],
+    missing: frozenset[str],
+) -> list[Daemon]:
+    """Return the daemons that are most likely to reach a target."""
+    reaching = [d for d in eligible if d.session not in target.unreached_by]
+    sound = [d for d in reaching if d.session not in missing]
+    return sound or reaching or eligible
+
+
 def _least_loaded(
     zone: str, eligible: list[Daemon], counts: collections.Counter[str]
 ) -> Daemon:
@@ -91,6 +128,7 @@
     targets: ty.Sequence[TargetAssignment],
     daemons: ty.Sequence[Daemon],
     eligible: list[Daemon],
+    missing: frozenset[str],
     counts: collections.Counter[str],
 ) -> tuple[str, ...]:
     """Return the targets to revoke from their coordinator."""
@@ -107,7 +145,20 @@
             if eligible:
                 revoke.append(target.target)
             continue
-        candidate = _least_loaded(target.zone, eligible, counts)
+        candidate = _least_loaded(
+            target.zone, _candidates(target, eligible, missing), counts
+        )
+        if current.session in target.unreached_by:
+            tried = len(target.unreached_by)
+            if (
+                tried < UNREACHED_BY_MAX
+                and candidate.session not in target.unreached_by
+            ):
+                # Out of service until another host coordinates it.
+                counts[current.session] -= 1
+                counts[candidate.session] += 1
+                revoke.append(target.target)
+            continue
         if moving < CONCURRENT_MOVES_MAX and _improves_balance(
             target, current, candidate, counts
         ):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -182,6 +182,8 @@
         self.peer_ports: dict[tuple[str, str], int] = {}
         # Announced port by target, where it differs from the listening port.
         self.target_ports: dict[str, int] = {}
+        # Relays of targets by host and address; see rerouted_daemon.py.
+        self.routes: dict[str, dict[str, str]] = {}
 
     @property
     def entry_hosts(self) -> list[Host]:
@@ -231,15 +233,15 @@
         host = self.hosts[name]
         file = self.folder / f"{name}.json"
         file.write_text(json.dumps(self.settings_of(host)))
+        program = ["-m", "goldcrestproxy.daemon"]
+        if name in self.routes:
+            program = [
+                str(TESTS / "rerouted_daemon.py"),
+                json.dumps(self.routes[name]),
+            ]
         host.process = Process(
             name,
-            [
-                sys.executable,
-                "-m",
-                "goldcrestproxy.daemon",
-                "--settings",
-                str(file),
-            ],
+            [sys.executable, *program, "--settings", str(file)],
             self.folder,
         )
 
--- a/tests/system/test_hosts_without_targets.py
+++ b/tests/system/test_hosts_without_targets.py
@@ -9,6 +9,8 @@
 import time
 
 import cluster as clusters
+import conftest
+import deployments
 import fleet as fleets
 import pytest
 import relay as relays
@@ -289,3 +291,58 @@
         for host in range(1, ENTRY_HOSTS):
             fleet.signal(f"entry-{host}", signal.SIGTERM)
         assert {answer.result()[0] for answer in answers} == {200}
+
+
+@pytest.fixture
+def rerouted(tmp_path):
+    """Cluster whose hosts reach the targets through relays of their own."""
+    cluster = clusters.Cluster(tmp_path, conftest.THREE_HOSTS)
+    host_relays = {name: [] for name in cluster.hosts}
+    for target, desk, zone in (
+        ("pitch-0", "pitches", "zone-b"),
+        ("photo-0", "photos", "zone-b"),
+    ):
+        port = cluster.prepare_target(target, desk, zone)
+        for name, found in host_relays.items():
+            relay_port = clusters.free_port()
+            found.append(relays.Relay(relay_port, port))
+            routes = cluster.routes.setdefault(name, {})
+            routes[f"127.0.0.1:{port}"] = f"127.0.0.1:{relay_port}"
+    try:
+        cluster.start()
+        cluster.form_control_group()
+        cluster.apply(deployments.document())
+        for target in cluster.targets:
+            cluster.start_target(target)
+        for desk in ("pitches", "photos"):
+            cluster.wait_in_service(desk)
+        yield cluster, host_relays
+    finally:
+        cluster.close()
+        for relay in itertools.chain(*host_relays.values()):
+            relay.close()
+
+
+@pytest.mark.parametrize("desk", ["pitches", "photos"])
+@pytest.mark.parametrize("cut", ["hang", "reset"])
+def test_targets_of_a_coordinator_without_links_get_another_one(
+    rerouted, desk, cut
+):
+    cluster, host_relays = rerouted
+
+    def served():
+        return all(
+            clusters.fetch(
+                f"{host.caller_url}/kisvaros/{desk}/{desk}/k{n}", timeout_s=3
+            ).status
+            == 200
+            for host in cluster.entry_hosts
+            for n in range(6)
+        )
+
+    clusters.wait_until(served, "served before the cut")
+    (coordinator,) = {t["coordinator"] for t in cluster.status_targets()}
+    for relay in host_relays[coordinator]:
+        getattr(relay, cut)()
+    time.sleep(1.0)
+    clusters.wait_until(served, "served by another coordinator", 8.0)
