Count the loss of a reused connection of a busy target as a reset, too

When a reused connection is lost before any answer, libcurl starts to send the request again, which is prevented; its error is then that of the callback. Such a loss still counted as a failure of the target, and the second one refuses everything for it.

The transfer remembers that it prevented a second sending and says that its connection was reset.

Test, failed before with one failure counted: test_a_busy_target_that_resets_a_reused_connection_has_no_room.

--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -31,6 +31,7 @@
 # Lower (1xx) statuses are interim: a final status follows.
 FINAL_STATUS_MIN: ty.Final = 200
 STATUS_DIGITS: ty.Final = 3
+RESET_CODES: ty.Final = (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
 # Covers every length that libcurl accepts.
 LENGTH_DIGITS_MAX: ty.Final = 19
 
@@ -52,15 +53,18 @@
         text: str,
         *,
         mismatched: bool = False,
+        was_reset: bool = False,
     ) -> None:
         """Create an error.
 
         :param curl_code: libcurl's, 0 if it has none
         :param mismatched: whether an answer to another request arrived
+        :param was_reset: whether the connection was lost without an answer
         """
         self.stage = stage
         self.curl_code = curl_code
         self.mismatched = mismatched
+        self.was_reset = was_reset
         super().__init__(f"{text} (curl error {curl_code}, {stage.value})")
 
     @property
@@ -68,11 +72,6 @@
         """Whether the transfer failed because it timed out."""
         return self.curl_code == pycurl.E_OPERATION_TIMEDOUT
 
-    @property
-    def was_reset(self) -> bool:
-        """Whether the connection was reset."""
-        return self.curl_code in (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
-
 
 class AnswerHead:
     """Status and headers of a target's answer."""
@@ -162,6 +161,8 @@
         self._socket_fd = -1
         # Whether the connection that libcurl chose had unread bytes.
         self._unclean_connection = False
+        # Whether libcurl lost a reused connection and was to send again.
+        self._resend_prevented = False
         self._may_send = may_send
         self._headers = httputil.HTTPHeaders()
         self._status = 0
@@ -257,7 +258,11 @@
 
     def _fail(self, code: int, text: str) -> None:
         error = TransferError(
-            self.stage, code, text, mismatched=self.mismatched
+            self.stage,
+            code,
+            text,
+            mismatched=self.mismatched,
+            was_reset=self._resend_prevented or code in RESET_CODES,
         )
         if not self.head.done():
             self.head.set_exception(error)
@@ -301,7 +306,10 @@
         peer_port: int,
         local_port: int,
     ) -> int:
-        if self.stage is not Stage.NOT_SENT or self._cancelled:
+        if self.stage is not Stage.NOT_SENT:
+            self._resend_prevented = True
+            return pycurl.PREREQFUNC_ABORT
+        if self._cancelled:
             return pycurl.PREREQFUNC_ABORT
         elapsed_s = time.monotonic() - self._started_s
         self.connect_s = elapsed_s - self.queued_s
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -556,3 +556,28 @@
         assert attempts.target.has_room(now_s) is not busy
 
     run(reset, scenario)
+
+
+def test_a_busy_target_that_resets_a_reused_connection_has_no_room():
+    """libcurl would send the request again, which is prevented."""
+
+    async def respond(server, number, reader, writer):
+        if len(server.requests) == 1:
+            writer.write(answer_of("r1"))
+            await writer.drain()
+            return True
+        return await reset(server, number, reader, writer)
+
+    async def scenario(attempts):
+        await attempts.send(1.0)
+        slots = attempts.target.stats.slots
+        load = target_choice.LoadReport(running=slots, waiting=30, slots=slots)
+        attempts.target.stats.record_load(load, time.monotonic())
+        assert_may_have_run(await attempts.failure(1.0), timed_out=False)
+        assert len(attempts.server.requests) == 2
+        now_s = time.monotonic()
+        assert attempts.target.stats.failures == 0
+        attempts.target.stats.record_load(load, now_s)
+        assert not attempts.target.has_room(now_s)
+
+    run(respond, scenario)
