Log on which state a host decided, and how its feed went

An entry host's refusal said nothing about the state on which it was decided, and map_age_ms is the time since a control host answered, not the age of what is applied. So the record of a route refused with 404 after its confirmation could not be told apart: no feed, a slow feed, a feeder that is behind, or routes that were not rebuilt.

Lines of requests and refusals now have the applied index and that of the last change of items, zones or leaving targets; hosts log each rebuild of their routes; control hosts log feeds that take over 500 ms and where and why a feed ended. The registry keeps the index of its last such change for this.

--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -20,6 +20,8 @@
 
 FEED_ENTRIES_MAX: ty.Final = 256
 FEED_TIMEOUT_MS: ty.Final = 2_000
+# A message that takes longer than this is logged.
+FEED_SLOW_MS: ty.Final = 500
 # Pause between two messages to one daemon, times the number of daemons fed
 # here. It batches commits and leaves the host time for other work.
 FEED_PAUSE_PER_DAEMON_S: ty.Final = 0.002
@@ -162,6 +164,7 @@
         """Send everything after ``sent_index`` as it is committed."""
         replica = self._replica
         delivered_index = sent_index
+        message_bytes = 0
         try:
             while self._may_feed() and not channel.closed:
                 if sent_index >= replica.state.map_index:
@@ -172,13 +175,48 @@
                 if not request.entries and not request.snapshot:
                     continue
                 request.previous_index = delivered_index
+                message_bytes = len(request.entries) + len(request.snapshot)
+                started_s = replica.clock()
                 await channel.call(wire.Method.FEED, request, FEED_TIMEOUT_MS)
                 delivered_index = sent_index
+                self._log_if_slow(channel, request, started_s)
                 await asyncio.sleep(FEED_PAUSE_PER_DAEMON_S * len(self._feeds))
         except (errors.WireError, errors.RefusedError) as error:
             # A daemon that missed an entry reconnects and gets a new feed.
-            LOG.info("control: feed of %s ended: %s", channel.name, error)
+            LOG.info(
+                "control: feed of %s ended at index %d, %d bytes to index %d "
+                "not delivered: %s",
+                channel.name,
+                delivered_index,
+                message_bytes,
+                sent_index,
+                error,
+            )
             channel.close()
+            return
+        LOG.info(
+            "control: feed of %s ended at index %d of %d: %s",
+            channel.name,
+            delivered_index,
+            replica.state.map_index,
+            "channel closed" if channel.closed else "no recent contact",
+        )
+
+    def _log_if_slow(
+        self,
+        channel: wire.Channel,
+        request: wire.ttypes.FeedRequest,
+        started_s: float,
+    ) -> None:
+        duration_ms = (self._replica.clock() - started_s) * 1000
+        if duration_ms > FEED_SLOW_MS:
+            LOG.info(
+                "control: feed of %s to index %d took %d ms, %d bytes",
+                channel.name,
+                request.last_index,
+                duration_ms,
+                len(request.entries) + len(request.snapshot),
+            )
 
 
 def _encode_entries(entries: list[wire.ttypes.Entry]) -> bytes:
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -75,6 +75,10 @@
         """End the requests in flight, each with an answer or a refusal."""
         self._running.end_all()
 
+    def describe_copy(self) -> dict[str, ty.Any]:
+        """Return how recent this host's state is, for log lines."""
+        return self._fleet.describe_copy()
+
     def find_route(
         self, request: fleet_request.FleetRequest
     ) -> route_table.NamedRoute:
@@ -347,5 +351,5 @@
             outcome=outcome,
             ms=round((self._clock() - started_s) * 1000, 1),
             map_revision=self._fleet.revision,
-            map_age_ms=self._fleet.age_ms,
+            **self._fleet.describe_copy(),
         )
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -157,6 +157,14 @@
         """Milliseconds since a control host last answered, -1 before that."""
         return self._watcher.age_ms
 
+    def describe_copy(self) -> dict[str, ty.Any]:
+        """Return how recent the state here is, for log lines."""
+        return {
+            "applied_index": self._watcher.state.applied_index,
+            "binding_index": self.registry.binding_index,
+            "map_age_ms": self.age_ms,
+        }
+
     @property
     def entry_hosts(self) -> int:
         """Number of entry hosts, this one included, that share limits."""
@@ -334,6 +342,13 @@
             routes.reuse_schedules(self.routes)
             self.routes = routes
             self.services = state.services()
+            LOG.info(
+                "entries: items in force as of index %d, applied %d, "
+                "routes built in %d ms",
+                state.binding_index,
+                self._watcher.state.applied_index,
+                (self._clock() - now_s) * 1000,
+            )
         self.targets = {
             name: self._track(record) for name, record in state.targets.items()
         }
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -128,6 +128,7 @@
             status=result.status,
             text=error.text,
             retry_after_ms=error.retry_after_ms,
+            **self._dispatcher.describe_copy(),
         )
         self.write_json({"error": error.text, "code": error.code})
 
--- a/src/goldcrestproxy/registry/state.py
+++ b/src/goldcrestproxy/registry/state.py
@@ -59,6 +59,9 @@
     revision: int = 0
     # The revision of the last change of items.
     items_revision: int = 0
+    # Log index of the last change that binds all hosts within a time: of
+    # items, of zones, or of targets that leave.
+    binding_index: int = 0
 
     def apply(self, index: int, command: commands.Command) -> str:
         """Apply the command of the log entry ``index``.
@@ -67,13 +70,13 @@
         """
         match command:
             case commands.ChangeItems():
-                return self._change_items(command)
+                return self._change_items(index, command)
             case commands.SetZone():
-                self._set_zone(command)
+                self._set_zone(index, command)
             case commands.RegisterTarget():
                 self._register(index, command)
             case commands.LoseTarget():
-                self._mark_lost(command)
+                self._mark_lost(index, command)
             case commands.LayOutKeys():
                 self._lay_out(index, command)
             case commands.FreeBlocks():
@@ -111,7 +114,7 @@
             if target.service == service
         ]
 
-    def _change_items(self, command: commands.ChangeItems) -> str:
+    def _change_items(self, index: int, command: commands.ChangeItems) -> str:
         merged = dict(self.items)
         for item in command.changed:
             existing = merged.get(item.key.text())
@@ -126,6 +129,7 @@
             self.items = merged
             self.revision += 1
             self.items_revision = self.revision
+            self.binding_index = index
         return ""
 
     def _sent_routes(self, command: commands.ChangeItems) -> list[items.Item]:
@@ -136,7 +140,7 @@
             if isinstance(item.value, items.Route)
         ]
 
-    def _set_zone(self, command: commands.SetZone) -> None:
+    def _set_zone(self, index: int, command: commands.SetZone) -> None:
         zones = set(self.zones_out)
         if command.out:
             zones.add(command.zone)
@@ -145,6 +149,7 @@
         if sorted(zones) != self.zones_out:
             self.zones_out = sorted(zones)
             self.revision += 1
+            self.binding_index = index
 
     def _register(self, index: int, command: commands.RegisterTarget) -> None:
         existing = self.targets.get(command.target)
@@ -167,6 +172,8 @@
             cold_index=index,
         )
         self.revision += 1
+        if command.leaving:
+            self.binding_index = index
 
     def _remove_predecessors(self, command: commands.RegisterTarget) -> None:
         """Remove earlier targets whose address is in use again."""
@@ -179,13 +186,15 @@
                 self._free_all(other)
                 self._remove(other)
 
-    def _mark_lost(self, command: commands.LoseTarget) -> None:
+    def _mark_lost(self, index: int, command: commands.LoseTarget) -> None:
         target = self.targets.get(command.target)
         if target is None or target.incarnation != command.incarnation:
             return
         target.lost = True
         target.gone = target.gone or command.gone
         self.revision += 1
+        if command.gone:
+            self.binding_index = index
         self._remove_gone()
 
     def _remove_gone(self) -> None:
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -125,6 +125,9 @@
             request_limits.FleetLimit(limit_per_s=0.5), 1.0
         )
 
+    def describe_copy(self):
+        return {}
+
     @property
     def has_suspects(self):
         return bool(self.suspected)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -49,6 +49,9 @@
             raise self._outcome
         return "route"
 
+    def describe_copy(self):
+        return {}
+
     async def dispatch(self, request, route):
         self.request = request
         self.dispatched += 1
