Reproduce: a host on a full link refuses confirmed routes and serves removed ones

A fleet of real processes; the first entry host reaches the control hosts over relays that leave 24 kB/s. A change adds 1,520 routes and removes one. On this code the host answers 404 for an added route, and 200 for the removed one, in all of the 12 s that the test looks. Its logs show the first hypothesis:

control: feed of entry-0 ended at index 5, 53385 bytes to index 7 not delivered: entry-0 did not answer FEED in 2000 ms entries: lost the control host: control-0 did not answer WATCH in 1200 ms, applied index 5

again and again, with each control host in turn, while map_age_ms stays below one second.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -6,12 +6,44 @@
 import contextlib
 import socket
 import threading
+import time
+
+READ_BYTES = 65536
+# Bytes that are sent at once over a link whose bandwidth may be limited.
+LINK_READ_BYTES = 1024
+
+
+class Link:
+    """Bandwidth for answers, shared by relays; unlimited at first."""
+
+    def __init__(self) -> None:
+        self.bytes_per_s = None
+        self._lock = threading.Lock()
+        self._free_s = 0.0
+
+    def reserve_s(self, count: int) -> float:
+        """Return the time that bytes need, behind those of all relays."""
+        if self.bytes_per_s is None:
+            return 0.0
+        with self._lock:
+            now_s = time.monotonic()
+            start_s = max(now_s, self._free_s)
+            self._free_s = start_s + count / self.bytes_per_s
+            return self._free_s - now_s
 
 
 class Relay:
     """Forward connections to a port, in a thread of its own."""
 
-    def __init__(self, listen_port: int, to_port: int) -> None:
+    def __init__(
+        self,
+        listen_port: int,
+        to_port: int,
+        to: str = "127.0.0.1",
+        link: Link | None = None,
+    ) -> None:
+        self._to = to
+        self._link = link
         self.drops_all = False
         # Connections up to this number carry no more bytes.
         self.silenced_max = 0
@@ -48,7 +80,7 @@
     async def _accept(self, reader, writer) -> None:
         try:
             back_reader, back_writer = await asyncio.open_connection(
-                "127.0.0.1", self._ports[1]
+                self._to, self._ports[1]
             )
         except OSError:
             writer.close()
@@ -125,10 +157,14 @@
         self._loop.call_soon_threadsafe(self._server.close)
 
     async def _pump(self, number, reader, writer, *, answers=False) -> None:
+        link = self._link if answers else None
+        read_bytes = READ_BYTES if link is None else LINK_READ_BYTES
         with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
+            while data := await reader.read(read_bytes):
                 if answers and self.drops_answers:
                     continue
+                if link is not None:
+                    await asyncio.sleep(link.reserve_s(len(data)))
                 if not self.drops_all and number > self.silenced_max:
                     writer.write(data)
                     await writer.drain()
