Send long feed messages in parts, and stay with a host that feeds

What callers saw: an entry host on a nearly full link answered 404 for routes that had been confirmed, for as long as the link was full.

Cause: a feed message had to arrive within 2,000 ms whatever its length and the link's bandwidth. Otherwise its channel was closed, and the next feed began the message anew. The answer to a report, due within 1,200 ms, waited behind it, so the entry host turned to the next control host, which fed it as well: copies of one change shared the link and none arrived.

Messages over 8 kB now go in parts, four of them in flight. The time-out is that of a part, so a slow link delays a message without failing it, and reports get their answers between the parts. A host that gets parts does not leave the control host that sends them for a late answer. A feed also no longer ends without a word when a follower loses contact for 400 ms: what it has committed stays committed. Daemons say that they take parts; others get whole messages.

--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import typing as ty
 import zlib
@@ -22,6 +23,12 @@
 FEED_TIMEOUT_MS: ty.Final = 2_000
 # A message that takes longer than this is logged.
 FEED_SLOW_MS: ty.Final = 500
+# Longer messages are sent in parts. The time-out applies to each part, so that
+# a slow link delays a message without failing it, and other messages on the
+# channel do not wait for all of it.
+PART_BYTES: ty.Final = 8 * 1024
+# Parts that are sent before the first of them is answered.
+PARTS_IN_FLIGHT_MAX: ty.Final = 4
 # Pause between two messages to one daemon, times the number of daemons fed
 # here. It batches commits and leaves the host time for other work.
 FEED_PAUSE_PER_DAEMON_S: ty.Final = 0.002
@@ -67,6 +74,7 @@
             last_index=payload.last_index,
             entries=payload.entries,
             snapshot=payload.snapshot,
+            binding_index=replica.state.registry.binding_index,
         )
 
     def _snapshot_payload(self) -> _Payload:
@@ -119,12 +127,13 @@
     fleet.
     """
 
-    def __init__(
-        self, replica: replicas.Replica, may_feed: ty.Callable[[], bool]
-    ) -> None:
-        """Feed from a replica's state while ``may_feed`` returns true."""
+    def __init__(self, replica: replicas.Replica) -> None:
+        """Feed from a replica's state.
+
+        Entries in it are committed, so daemons may apply them even while
+        this replica is not in contact with a leader.
+        """
         self._replica = replica
-        self._may_feed = may_feed
         self._source = FeedSource(replica)
         self._feeds: dict[wire.Channel, asyncio.Task[None]] = {}
         self._entry_channels: set[wire.Channel] = set()
@@ -135,12 +144,18 @@
         return sum(not channel.closed for channel in self._entry_channels)
 
     def feed(
-        self, channel: wire.Channel, applied_index: int, *, entry: bool
+        self,
+        channel: wire.Channel,
+        applied_index: int,
+        *,
+        entry: bool,
+        takes_parts: bool,
     ) -> None:
         """Start to feed a daemon unless its channel is fed already.
 
         :param applied_index: last index that the daemon has applied
         :param entry: whether to count it as an entry host fed here
+        :param takes_parts: whether it accepts long messages in parts
         """
         if entry and channel not in self._entry_channels:
             self._entry_channels = {
@@ -151,7 +166,9 @@
             self._entry_channels.add(channel)
         if channel in self._feeds:
             return
-        task = asyncio.create_task(self._run(channel, applied_index))
+        task = asyncio.create_task(
+            self._run(channel, applied_index, takes_parts=takes_parts)
+        )
         self._feeds[channel] = task
         task.add_done_callback(lambda _: self._feeds.pop(channel, None))
 
@@ -160,13 +177,15 @@
         for task in self._feeds.values():
             task.cancel()
 
-    async def _run(self, channel: wire.Channel, sent_index: int) -> None:
+    async def _run(
+        self, channel: wire.Channel, sent_index: int, *, takes_parts: bool
+    ) -> None:
         """Send everything after ``sent_index`` as it is committed."""
         replica = self._replica
         delivered_index = sent_index
         message_bytes = 0
         try:
-            while self._may_feed() and not channel.closed:
+            while not channel.closed:
                 if sent_index >= replica.state.map_index:
                     await replica.wait_change()
                     continue
@@ -177,7 +196,8 @@
                 request.previous_index = delivered_index
                 message_bytes = len(request.entries) + len(request.snapshot)
                 started_s = replica.clock()
-                await channel.call(wire.Method.FEED, request, FEED_TIMEOUT_MS)
+                messages = _parts(request) if takes_parts else [request]
+                await _deliver(channel, messages)
                 delivered_index = sent_index
                 self._log_if_slow(channel, request, started_s)
                 await asyncio.sleep(FEED_PAUSE_PER_DAEMON_S * len(self._feeds))
@@ -193,14 +213,6 @@
                 error,
             )
             channel.close()
-            return
-        LOG.info(
-            "control: feed of %s ended at index %d of %d: %s",
-            channel.name,
-            delivered_index,
-            replica.state.map_index,
-            "channel closed" if channel.closed else "no recent contact",
-        )
 
     def _log_if_slow(
         self,
@@ -219,6 +231,56 @@
             )
 
 
+def _parts(
+    request: wire.ttypes.FeedRequest,
+) -> list[wire.ttypes.FeedRequest]:
+    """Return a message, or the parts of a long one in order."""
+    message = request.snapshot or request.entries
+    if len(message) <= PART_BYTES:
+        return [request]
+    parts = []
+    for offset in range(0, len(message), PART_BYTES):
+        part = message[offset : offset + PART_BYTES]
+        parts.append(
+            wire.ttypes.FeedRequest(
+                previous_index=request.previous_index,
+                last_index=request.last_index,
+                entries=b"" if request.snapshot else part,
+                snapshot=part if request.snapshot else b"",
+                offset_bytes=offset,
+                more=offset + PART_BYTES < len(message),
+                binding_index=request.binding_index,
+            )
+        )
+    return parts
+
+
+async def _deliver(
+    channel: wire.Channel, messages: list[wire.ttypes.FeedRequest]
+) -> None:
+    """Send messages in order, with a few of them in flight.
+
+    :raises WireError: if one of them was not answered in time
+    :raises RefusedError: if the daemon refused one of them
+    """
+    in_flight: collections.deque[asyncio.Task[ty.Any]] = collections.deque()
+    try:
+        for message in messages:
+            if len(in_flight) == PARTS_IN_FLIGHT_MAX:
+                await in_flight.popleft()
+            in_flight.append(
+                asyncio.create_task(
+                    channel.call(wire.Method.FEED, message, FEED_TIMEOUT_MS)
+                )
+            )
+        while in_flight:
+            await in_flight.popleft()
+    finally:
+        for task in in_flight:
+            task.cancel()
+        await asyncio.gather(*in_flight, return_exceptions=True)
+
+
 def _encode_entries(entries: list[wire.ttypes.Entry]) -> bytes:
     """Encode compactly: entry hosts may have links of a few Mbit/s."""
     return zlib.compress(wire.encode(wire.ttypes.Entries(entries=entries)))
--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -123,7 +123,10 @@
             )
         elif leading:
             self._feeder.feed(
-                channel, request.applied_index, entry=bool(request.entry)
+                channel,
+                request.applied_index,
+                entry=bool(request.entry),
+                takes_parts=bool(request.takes_parts),
             )
             self._directory.record(request)
             entry_hosts = self._directory.neighbours(request)
@@ -176,7 +179,12 @@
         self._assume_inherited_leases()
         now_s = self._replica.clock()
         session = self.sessions.record_report(request, channel, now_s)
-        self._feeder.feed(channel, request.applied_index, entry=False)
+        self._feeder.feed(
+            channel,
+            request.applied_index,
+            entry=False,
+            takes_parts=bool(request.takes_parts),
+        )
         if not self._may_renew(request):
             return wire.ttypes.RenewReply(
                 granted=False, lease_ms=0, leader_host=host
--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -63,14 +63,12 @@
         self._election = elections.Election(replica)
         self._follower = followers.Follower(replica, self._election)
         self._leadership: leaderships.Leadership | None = None
-        self._feeder = feed.Feeder(replica, self._may_feed)
+        self._feeder = feed.Feeder(replica)
         self._directory = entry_directory.EntryDirectory()
         self._relay = relays.WatchRelay(replica, self._feeder, self._directory)
 
-    def _may_feed(self) -> bool:
-        """Return whether the state here is as recent as the leader's."""
-        if self._leadership is not None:
-            return True
+    def _may_serve_watches(self) -> bool:
+        """Return whether this follower may feed entry hosts."""
         return self._registrar_settings is not None and (
             self.replica.has_recent_contact()
         )
@@ -185,7 +183,7 @@
     ) -> wire.ttypes.WatchReply:
         if self._leadership is not None:
             return self._leadership.watch(channel, request)
-        if request.relayed_watchers is None and self._may_feed():
+        if request.relayed_watchers is None and self._may_serve_watches():
             return self._relay.watch(channel, request)
         leader = formation.leader_address(self.replica)
         return wire.ttypes.WatchReply(
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -48,7 +48,10 @@
     ) -> wire.ttypes.WatchReply:
         """Start to feed a daemon and add its report."""
         self._feeder.feed(
-            channel, request.applied_index, entry=bool(request.entry)
+            channel,
+            request.applied_index,
+            entry=bool(request.entry),
+            takes_parts=bool(request.takes_parts),
         )
         self._observations.merge(request)
         self._directory.record(request)
--- a/src/goldcrestproxy/entries/control_link.py
+++ b/src/goldcrestproxy/entries/control_link.py
@@ -169,6 +169,7 @@
             address=self._settings.address,
             peer_port=self._settings.peer_port,
             entry="entry" in self._settings.roles,
+            takes_parts=True,
         )
         requested_s = self._clock()
         try:
--- a/src/goldcrestproxy/entries/state_copy.py
+++ b/src/goldcrestproxy/entries/state_copy.py
@@ -11,16 +11,24 @@
 from goldcrestproxy import signals
 from goldcrestproxy import wire
 
+# Compressed size up to which a message is accepted in parts.
+MESSAGE_BYTES_MAX: ty.Final = 64 * 1024 * 1024
+
 
 class StateCopy:
     """Applies snapshots and committed entries that control hosts send.
 
-    Those that are older than the applied index are ignored.
+    Those that are older than the applied index are ignored. Long messages
+    arrive in parts, over one channel in order.
     """
 
     def __init__(self) -> None:
         """Create a copy with an empty state and no listeners."""
         self.state = control.ControlState()
+        # Messages and parts received, from any control host.
+        self.feeds_received = 0
+        # By channel, the start of a message whose other parts are to come.
+        self._parts: dict[wire.Channel, bytearray] = {}
         self._listeners: list[ty.Callable[[], None]] = []
         self._change_signal = signals.Signal()
 
@@ -37,33 +45,81 @@
         handlers.calls[wire.Method.FEED] = self._handle_feed
 
     async def _handle_feed(
-        self, _: wire.Channel, request: wire.ttypes.FeedRequest
+        self, channel: wire.Channel, request: wire.ttypes.FeedRequest
     ) -> wire.ttypes.Empty:
-        """Apply a snapshot or committed entries.
+        """Apply a snapshot or committed entries, once all parts are there.
 
-        :raises RefusedError: when preceding entries have not been applied
+        :raises RefusedError: when preceding entries have not been applied,
+            or preceding parts have not arrived
         """
+        self.feeds_received += 1
+        if request.offset_bytes is not None:
+            message = self._add_part(channel, request)
+            if request.more:
+                return wire.ttypes.Empty()
+            del self._parts[channel]
+        else:
+            message = bytearray(request.snapshot or request.entries)
         if request.snapshot:
-            if request.last_index > self.state.applied_index:
-                self.state = control.ControlState.decode(
-                    zlib.decompress(request.snapshot)
-                )
-                self._notify()
-            return wire.ttypes.Empty()
+            self._apply_snapshot(request.last_index, bytes(message))
+        else:
+            self._apply_entries(request, bytes(message))
+        return wire.ttypes.Empty()
+
+    def _add_part(
+        self, channel: wire.Channel, request: wire.ttypes.FeedRequest
+    ) -> bytearray:
+        """Add a part to its message, and return what there is of it.
+
+        :raises RefusedError: when it does not continue the message
+        """
+        if not request.offset_bytes:
+            self._parts = {
+                other: parts
+                for other, parts in self._parts.items()
+                if not other.closed
+            }
+            self._parts[channel] = bytearray()
+        message = self._parts.get(channel, bytearray())
+        part = request.snapshot or request.entries
+        if (
+            request.offset_bytes != len(message)
+            or len(message) + len(part) > MESSAGE_BYTES_MAX
+        ):
+            self._parts.pop(channel, None)
+            raise results.refusal(
+                results.BAD_REQUEST,
+                f"part of {len(part)} bytes at {request.offset_bytes}, "
+                f"{len(message)} have arrived here",
+            )
+        message += part
+        return message
+
+    def _apply_snapshot(self, last_index: int, snapshot: bytes) -> None:
+        if last_index > self.state.applied_index:
+            self.state = control.ControlState.decode(zlib.decompress(snapshot))
+            self._notify()
+
+    def _apply_entries(
+        self, request: wire.ttypes.FeedRequest, entries: bytes
+    ) -> None:
+        """Apply the entries that are new here.
+
+        :raises RefusedError: when preceding entries have not been applied
+        """
         if request.previous_index > self.state.applied_index:
             raise results.refusal(
                 results.BAD_REQUEST,
                 f"feed starts after {request.previous_index}, "
                 f"{self.state.applied_index} is applied here",
             )
-        for entry in feed.decode_entries(request.entries):
+        for entry in feed.decode_entries(entries):
             if entry.index > self.state.applied_index:
                 self.state.apply(entry.index, control.decode(entry.command))
         self.state.applied_index = max(
             self.state.applied_index, request.last_index
         )
         self._notify()
-        return wire.ttypes.Empty()
 
     def _notify(self) -> None:
         self._change_signal.notify()
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -163,8 +163,10 @@
             address=self._settings.address,
             peer_port=self._settings.peer_port,
             takes_requests=self.takes_requests(),
+            takes_parts=True,
         )
         self.observations.flush_into(request)
+        feeds_received = self.feeds_received
         try:
             reply = await self._peers.call(
                 self._address,
@@ -174,6 +176,13 @@
             )
         except (errors.WireError, errors.RefusedError) as error:
             self.observations.restore_runs(request)
+            if (
+                isinstance(error, errors.PeerTimeoutError)
+                and self.feeds_received > feeds_received
+            ):
+                # The answer waits behind the feed on a slow link. Another
+                # control host would feed from the start.
+                return False
             self._record_disconnected(str(error))
             self._address = self._next_address()
             return False
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -138,6 +138,8 @@
   9: i32 peer_port,
   /** Whether the daemon may coordinate targets. */
   10: bool entry,
+  /** Whether the daemon accepts feeds in parts. */
+  11: optional bool takes_parts,
 }
 
 /** Load that a coordinator measured on a target since its last renewal. */
@@ -172,6 +174,12 @@
   /** Entries. */
   3: binary entries,
   4: binary snapshot,
+  /** Position of this part in the compressed bytes; not set for a whole message. */
+  5: optional i64 offset_bytes,
+  /** Whether further parts follow. */
+  6: optional bool more,
+  /** The last change known to the sender that binds entry hosts within a time. */
+  7: optional i64 binding_index,
 }
 
 /** A command for the replicated state, from any daemon. */
@@ -279,6 +287,8 @@
   16: optional list<TargetRest> rests,
   /** Targets whose answers said that they leave. */
   17: optional list<TargetProcess> leaving,
+  /** Whether the host accepts feeds in parts. */
+  18: optional bool takes_parts,
 }
 
 struct WatchReply {
@@ -294,6 +304,10 @@
   6: optional list<TargetLimit> limits,
   /** Other entry hosts that reach targets. */
   7: optional list<EntryHost> entry_host_list,
+  /** The last change that binds entry hosts within a time. */
+  8: optional i64 binding_index,
+  /** Time since that was the last one of all control hosts; not set while this is not known. */
+  9: optional i32 binding_age_ms,
 }
 
 /** A host asks the leader whether a target may get another request. */
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -52,7 +52,7 @@
         replica,
         replication,
         settings.Timeouts(),
-        feed.Feeder(replica, lambda: True),
+        feed.Feeder(replica),
     )
 
 
