Let an entry host know the age of its copy before it refuses or serves

What callers saw: 404, which is final, for a route that had been confirmed 4.7 s before; in the reproduction also answers on a route that had been removed.

Cause: an entry host did not know how old its copy of the state was. It was 'current' from the first time that it had caught up until its end, and the answers to its reports named a newer index that nobody read again. A follower that had just started, or had granted a vote, counted as up to date as well.

Control hosts now say with each answer which change was the last that binds hosts (items, zones, leaving targets) and as of when: the leader under its lease, a follower by its last report to the leader, or not at all. A host takes its first state for current only from a control host that knows. In the own interface, a host without a lease no longer refuses customers, desks and routes as unknown: the leader grants leases only to hosts that follow.

Why it works: 404 now rests on a statement of the leader that is younger than the bound, whatever delayed the feed.

--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -51,12 +51,19 @@
         :raises RefusedError: if the host accepts no more requests, or if the
             connection was closed: Tornado still parses what it has read
         """
+        self.check_connected()
+        self._gate.enter()
+        self._entered_gate = True
+
+    def check_connected(self) -> None:
+        """Check that the caller can still get an answer.
+
+        :raises RefusedError: if the connection was closed
+        """
         if self._stream().closed():
             raise results.refusal(
                 results.STOPPING, "the connection was closed"
             )
-        self._gate.enter()
-        self._entered_gate = True
 
     def start(self, work: ty.Coroutine[ty.Any, ty.Any, ty.Any]) -> None:
         """Start forwarding the request; ``work`` returns the answer."""
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import typing as ty
 
 from goldcrestproxy.control import entry_directory
@@ -40,6 +41,9 @@
         # From the leader's last reply; 0 while unknown.
         self._entry_hosts = 0
         self._map_index = 0
+        self._binding_index = 0
+        # When the leader that last replied was asked, None before that.
+        self._asked_s: float | None = None
         # None while unknown.
         self._limits: list[wire.ttypes.TargetLimit] | None = None
 
@@ -55,16 +59,31 @@
         )
         self._observations.merge(request)
         self._directory.record(request)
+        state = self._replica.state
         return wire.ttypes.WatchReply(
             serving=True,
             leader_address="",
             leader_peer_port=0,
             entry_hosts=self._entry_hosts,
-            map_index=max(self._map_index, self._replica.state.map_index),
+            map_index=max(self._map_index, state.map_index),
             limits=self._limits,
             entry_host_list=self._directory.neighbours(request),
+            binding_index=max(
+                self._binding_index, state.registry.binding_index
+            ),
+            binding_age_ms=self._binding_age_ms(),
         )
 
+    def _binding_age_ms(self) -> int | None:
+        """Return the age of what the leader replied, None without a reply.
+
+        Contact with the leader is not enough: its entries may wait for this
+        host's disk or link, or this host has only just started.
+        """
+        if self._asked_s is None:
+            return None
+        return math.ceil((self._replica.clock() - self._asked_s) * 1000)
+
     async def run(self) -> None:
         """Report to the leader until cancelled."""
         while True:
@@ -90,6 +109,7 @@
             entry_host_list=self._directory.fed(),
         )
         self._observations.flush_into(request)
+        asked_s = self._replica.clock()
         try:
             reply = await self._replica.peers.call(
                 leader, wire.Method.WATCH, request, REPORT_TIMEOUT_MS
@@ -104,6 +124,9 @@
             self._limits = reply.limits
             self._entry_hosts = reply.entry_hosts
             self._map_index = reply.map_index
+            # A leader of an earlier build does not say.
+            self._binding_index = reply.binding_index or reply.map_index
+            self._asked_s = asked_s
             self._directory.merge(reply.entry_host_list)
         else:
             self._observations.restore_runs(request)
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -252,6 +252,7 @@
             seeds=_seeds(host_settings, fleet_settings),
             watch_interval_ms=WATCH_INTERVAL_MS,
             watch_timeout_ms=WATCH_TIMEOUT_MS,
+            in_force_ms=fleet_settings.in_force_ms,
         ),
         peering.peers,
     )
--- a/src/goldcrestproxy/entries/dispatch_refusals.py
+++ b/src/goldcrestproxy/entries/dispatch_refusals.py
@@ -12,6 +12,8 @@
 
 # A target refuses when its queue is full; it has room again after about this.
 SHED_RETRY_AFTER_MS: ty.Final = 200
+# Most callers come back to another entry host.
+BEHIND_RETRY_AFTER_MS: ty.Final = 200
 # Random extension of Retry-After, so that callers do not retry all at once.
 RETRY_SPREAD: ty.Final = 0.5
 
@@ -40,6 +42,13 @@
         spread = 1 + RETRY_SPREAD * self._rng.random()
         return results.refusal(code, text, int(retry_after_ms * spread))
 
+    def behind(self, text: str) -> errors.RefusedError:
+        """Return the refusal of a request for which the state is too old."""
+        spread = 1 + RETRY_SPREAD * self._rng.random()
+        return results.refusal(
+            results.STATE_BEHIND, text, int(BEHIND_RETRY_AFTER_MS * spread)
+        )
+
     def final(
         self, state: dispatch_state.DispatchState
     ) -> errors.RefusedError:
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -26,6 +26,10 @@
 
 # A host that has just started receives its routes within about this time.
 NO_ROUTES_RETRY_AFTER_MS: ty.Final = 500
+# Longest time that a request without a route waits for a newer state.
+ROUTE_WAIT_S: ty.Final = 0.4
+# Share of the remaining time that it waits.
+ROUTE_WAIT_SHARE: ty.Final = 0.3
 # Another entry host can take the request at once.
 STOPPING_RETRY_AFTER_MS: ty.Final = 100
 # For requests without a deadline header.
@@ -84,7 +88,8 @@
     ) -> route_table.NamedRoute:
         """Return the named route of a request.
 
-        :raises RefusedError: without routes or without a matching route
+        :raises RefusedError: without routes or without a matching route; as
+            not run while a newer state may have one
         """
         if not self._fleet.current:
             raise results.refusal(
@@ -92,13 +97,42 @@
                 "this entry host does not have the routes in force yet",
                 NO_ROUTES_RETRY_AFTER_MS,
             )
-        named_route = self._fleet.routes.match(request.host, request.path)
-        if named_route is None:
-            raise results.refusal(
-                results.UNKNOWN_ROUTE,
-                f"no route of host {request.host!r} begins {request.path!r}",
+        if not self._fleet.may_serve:
+            raise self._refusals.behind(
+                "this entry host has not received the last change yet"
             )
-        return named_route
+        named_route = self._fleet.routes.match(request.host, request.path)
+        if named_route is not None:
+            return named_route
+        text = f"no route of host {request.host!r} begins {request.path!r}"
+        if not self._fleet.may_refuse_unknown:
+            raise self._refusals.behind(f"{text} here, as far as is known")
+        raise results.refusal(results.UNKNOWN_ROUTE, text)
+
+    async def await_route(
+        self, request: fleet_request.FleetRequest
+    ) -> route_table.NamedRoute:
+        """Return the named route of a request, from the newest state.
+
+        If it has none here, waits briefly for a control host to say whether
+        the state here is the newest one.
+
+        :raises RefusedError: see ``find_route``
+        """
+        deadline_ms = request.deadline_ms or DEADLINE_MS_DEFAULT
+        wait_until_s = self._clock() + min(
+            ROUTE_WAIT_S, deadline_ms / 1000 * ROUTE_WAIT_SHARE
+        )
+        fleet = self._fleet
+        while (
+            fleet.current
+            and fleet.connected
+            and not fleet.may_refuse_unknown
+            and self._clock() < wait_until_s
+            and fleet.routes.match(request.host, request.path) is None
+        ):
+            await fleet.wait_newer(wait_until_s - self._clock())
+        return self.find_route(request)
 
     async def dispatch_passed(
         self, request: fleet_request.FleetRequest, service: str
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -157,12 +157,35 @@
         """Milliseconds since a control host last answered, -1 before that."""
         return self._watcher.age_ms
 
+    @property
+    def may_refuse_unknown(self) -> bool:
+        """Whether a route that is missing here is in force nowhere."""
+        return self._watcher.may_refuse_unknown
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the routes here may still be used."""
+        return self._watcher.may_serve
+
+    @property
+    def connected(self) -> bool:
+        """Whether a control host answered this host's last report."""
+        return self._watcher.connected
+
+    async def wait_newer(self, timeout_s: float) -> None:
+        """Ask a control host whether the state here is the newest one.
+
+        Returns when there is an answer or a change, or after ``timeout_s``.
+        """
+        await self._watcher.wait_newer(timeout_s)
+
     def describe_copy(self) -> dict[str, ty.Any]:
         """Return how recent the state here is, for log lines."""
         return {
             "applied_index": self._watcher.state.applied_index,
             "binding_index": self.registry.binding_index,
             "map_age_ms": self.age_ms,
+            "copy_age_ms": self._watcher.copy_age_ms,
         }
 
     @property
@@ -337,11 +360,11 @@
             if until_s > now_s
         }
         if state.items_revision != self._items_revision:
-            self._items_revision = state.items_revision
             routes = route_table.RouteTable(state.items.values())
             routes.reuse_schedules(self.routes)
             self.routes = routes
             self.services = state.services()
+            self._items_revision = state.items_revision
             LOG.info(
                 "entries: items in force as of index %d, applied %d, "
                 "routes built in %d ms",
--- a/src/goldcrestproxy/entries/passing.py
+++ b/src/goldcrestproxy/entries/passing.py
@@ -32,6 +32,7 @@
     {
         results.HOST_ISOLATED,
         results.NO_CONFIGURATION,
+        results.STATE_BEHIND,
         results.STOPPING,
         results.UNKNOWN_ROUTE,
     }
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -32,6 +32,11 @@
 # How long a request waits for its key to get an owner, or for any target.
 TARGET_WAIT_S: ty.Final = 2.0
 MAP_WAIT_S: ty.Final = 0.05
+# Refusals that a newer configuration might not give.
+_UNKNOWN_CODES: ty.Final = frozenset(
+    {results.UNKNOWN_CUSTOMER, results.UNKNOWN_DESK, results.UNKNOWN_ROUTE}
+)
+BEHIND_RETRY_AFTER_MS: ty.Final = 200
 # Another entry host can take the request at once.
 STOPPING_RETRY_AFTER_MS: ty.Final = 100
 
@@ -73,11 +78,22 @@
         """Match a request line against the configuration.
 
         :raises RefusedError: without a configuration, or when the request line
-            is invalid or matches no route
+            is invalid or matches no route; as not run if a configuration that
+            this host has not received may have one
         """
-        return self._active_configuration.get().classify(
-            method, request_target
-        )
+        try:
+            return self._active_configuration.get().classify(
+                method, request_target
+            )
+        except errors.RefusedError as error:
+            # The leader grants leases only to hosts that are up to date.
+            if error.code in _UNKNOWN_CODES and not self._link.has_lease:
+                raise results.refusal(
+                    results.STATE_BEHIND,
+                    f"{error.text} here, as far as is known",
+                    BEHIND_RETRY_AFTER_MS,
+                ) from None
+            raise
 
     async def route(
         self,
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import logging
+import math
 import typing as ty
 
 import attrs
@@ -14,6 +16,8 @@
 from goldcrestproxy.control import observations
 from goldcrestproxy.entries import state_copy
 from goldcrestproxy import errors
+from goldcrestproxy.routing import copy_age
+from goldcrestproxy import signals
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -27,6 +31,9 @@
 WATCH_INTERVAL_MS_PER_HOST: ty.Final = 10
 # Interval at which the preferred control host is tried again.
 PREFERRED_RETRY_S: ty.Final = 5.0
+# Shortest interval between two reports to a control host that answers,
+# however many requests wait for its answer.
+ASKED_INTERVAL_S: ty.Final = 0.1
 # A control host may have to ask the leader.
 PERMIT_TIMEOUT_MS: ty.Final = 300
 
@@ -39,6 +46,8 @@
     """Identity of this daemon, addresses of control hosts, and timing.
 
     ``seeds`` are the control hosts to try before the state names members.
+    ``in_force_ms`` is the time from the confirmation of a change until it
+    binds every host.
     """
 
     host: str
@@ -49,6 +58,7 @@
     seeds: tuple[wire.PeerAddress, ...]
     watch_interval_ms: int
     watch_timeout_ms: int
+    in_force_ms: float = copy_age.IN_FORCE_MS_DEFAULT
 
 
 class StateWatcher(state_copy.StateCopy):
@@ -74,6 +84,10 @@
         # Whether the state has caught up with the control hosts once.
         self.current = False
         self._required_index: int | None = None
+        self._copy_age = copy_age.CopyAge(watcher_settings.in_force_ms)
+        # Whether the next report is due before the interval has passed.
+        self._report_wanted = asyncio.Event()
+        self._age_changed = signals.Signal()
         # Time of the last answer of a control host, None before the first.
         self.last_answer_s: float | None = None
         self.observations = observations.Observations()
@@ -139,15 +153,54 @@
             return -1
         return int((self._clock() - self.last_answer_s) * 1000)
 
+    @property
+    def copy_age_ms(self) -> int:
+        """Milliseconds since the copy was the newest one, -1 if unknown."""
+        age_s = self._copy_age.age_s(self._clock())
+        return int(age_s * 1000) if math.isfinite(age_s) else -1
+
+    @property
+    def may_refuse_unknown(self) -> bool:
+        """Whether a route that is missing here is in force nowhere."""
+        return self._copy_age.may_refuse_unknown(self._clock())
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the routes here may still be used."""
+        return self._copy_age.may_serve(self._clock())
+
+    async def wait_newer(self, timeout_s: float) -> None:
+        """Ask a control host at once whether the copy is the newest one.
+
+        Returns when there is an answer or a change, at the latest after
+        ``timeout_s``; at once while no control host answers.
+        """
+        if self._connected:
+            self._report_wanted.set()
+            await self._age_changed.wait(max(0.0, timeout_s))
+
+    @property
+    def connected(self) -> bool:
+        """Whether a control host answered the last report."""
+        return self._connected
+
     async def run(self) -> None:
         """Report to control hosts until cancelled."""
         while True:
+            self._report_wanted.clear()
             if await self._watch():
                 self._return_to_preferred()
-                await asyncio.sleep(self._interval_s)
+                await self._wait_interval()
             else:
                 await asyncio.sleep(RETRY_S)
 
+    async def _wait_interval(self) -> None:
+        """Wait until the next report is due or wanted."""
+        await asyncio.sleep(ASKED_INTERVAL_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._interval_s - ASKED_INTERVAL_S):
+                await self._report_wanted.wait()
+
     @property
     def _interval_s(self) -> float:
         scaled_ms = self._entry_hosts * WATCH_INTERVAL_MS_PER_HOST
@@ -167,6 +220,7 @@
         )
         self.observations.flush_into(request)
         feeds_received = self.feeds_received
+        asked_s = self._clock()
         try:
             reply = await self._peers.call(
                 self._address,
@@ -195,7 +249,7 @@
             return False
         self._record_connected()
         self.last_answer_s = self._clock()
-        self._update_current(reply.map_index)
+        self._record_copy_age(reply, asked_s)
         self._entry_hosts = reply.entry_hosts or self._entry_hosts
         if reply.limits is not None:
             for callback in self._limit_listeners:
@@ -205,6 +259,42 @@
                 listener(reply.entry_host_list)
         return True
 
+    def _record_copy_age(
+        self, reply: wire.ttypes.WatchReply, asked_s: float
+    ) -> None:
+        """Record which change a control host knows to be the last one."""
+        if reply.binding_index is None:
+            # A control host of an earlier build feeds what it knows.
+            binding_index, as_of_s = self.state.applied_index, asked_s
+        elif reply.binding_age_ms is None:
+            return
+        else:
+            binding_index = reply.binding_index
+            as_of_s = asked_s - reply.binding_age_ms / 1000
+        self._copy_age.record_report(
+            binding_index,
+            as_of_s,
+            applied_index=self.state.applied_index,
+            now_s=self._clock(),
+        )
+        self._update_current(reply.map_index)
+        self._age_changed.notify()
+
+    def _add_part(
+        self, channel: wire.Channel, request: wire.ttypes.FeedRequest
+    ) -> bytearray:
+        """Record also which change the rest of the message may bring."""
+        binding_index = request.binding_index or 0
+        if binding_index > self.state.applied_index:
+            self._copy_age.record_announced(binding_index, self._clock())
+        return super()._add_part(channel, request)
+
+    def _notify(self) -> None:
+        """Record the new index once the listeners have processed it."""
+        super()._notify()
+        self._copy_age.record_applied(self.state.applied_index)
+        self._age_changed.notify()
+
     def _update_current(self, map_index: int) -> None:
         """Set ``current`` once the index of the first answer is applied.
 
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -42,7 +42,8 @@
         try:
             self.enter_gate()
             request = self._build_request()
-            route = self._dispatcher.find_route(request)
+            route = await self._dispatcher.await_route(request)
+            self.check_connected()
         except errors.RefusedError as error:
             await self.refuse(error)
             return
--- a/src/goldcrestproxy/results.py
+++ b/src/goldcrestproxy/results.py
@@ -68,6 +68,7 @@
 COORDINATOR_UNREACHABLE = 2005
 STOPPING = 2006
 NO_LEADER = 2007
+STATE_BEHIND = 2008
 OVERLOADED = 3001
 DEADLINE_NOT_RUN = 3002
 TARGET_REFUSED = 3003
@@ -225,6 +226,14 @@
         "The control leader cannot be reached at the moment.",
         _RETRY_LATER,
     ),
+    _row(
+        STATE_BEHIND,
+        "state-behind",
+        503,
+        _NOT_RUN,
+        "This entry host does not know the last changes yet.",
+        _RETRY_LATER,
+    ),
     _row(
         OVERLOADED,
         "overloaded",
--- a/src/goldcrestproxy/settings/fleet.py
+++ b/src/goldcrestproxy/settings/fleet.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from goldcrestproxy.routing import copy_age
 from goldcrestproxy.routing import leaving
 from goldcrestproxy.settings import loading
 
@@ -89,6 +90,11 @@
         default=leaving.DRAIN_MS_DEFAULT,
         validator=loading.in_range(0, 600_000),
     )
+    # Time from the confirmation of a change until it binds every host.
+    in_force_ms: float = attrs.field(
+        default=copy_age.IN_FORCE_MS_DEFAULT,
+        validator=loading.in_range(500, 600_000),
+    )
     resend_ratio: float = attrs.field(
         default=0.1, validator=loading.in_range(0, 10)
     )
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import types
 
 import pytest
@@ -31,6 +32,7 @@
             serving=True,
             entry_hosts=80,
             map_index=9,
+            binding_index=7,
             limits=[
                 wire.ttypes.TargetLimit(
                     target="t1",
@@ -60,6 +62,7 @@
         members=types.SimpleNamespace(members=[leader]),
         address_of=lambda member: member.peer,
         state=control.ControlState(),
+        clock=time.monotonic,
     )
     feeder = types.SimpleNamespace(entry_hosts=2, feed=lambda *_, **__: None)
     return watch_relay.WatchRelay(replica, feeder)
@@ -177,3 +180,19 @@
     request = wire.ttypes.WatchRequest()
     reporting.flush_into(request)
     assert [process.target for process in request.leaving] == ["t1"]
+
+
+def test_a_follower_tells_how_old_its_knowledge_of_the_last_change_is(
+    relay, peers
+):
+    reply = relay.watch(None, watch_request("entry-a"))
+    # It has just started and may lack entries that were committed long ago.
+    assert reply.binding_age_ms is None
+    asyncio.run(run_one_interval(relay))
+    first = relay.watch(None, watch_request("entry-a"))
+    assert first.binding_index == 7
+    assert 0 < first.binding_age_ms < watch_relay.REPORT_INTERVAL_S * 1000
+    peers.error = errors.WireError("cut")
+    asyncio.run(run_one_interval(relay))
+    second = relay.watch(None, watch_request("entry-a"))
+    assert second.binding_age_ms > first.binding_age_ms + 300
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -76,8 +76,10 @@
     """A fleet map with one keyed service and one target."""
 
     current = True
+    connected = True
+    may_refuse_unknown = True
+    may_serve = True
     revision = 1
-    age_ms = 5
     entry_hosts = 1
 
     def __init__(self, kind):
@@ -128,6 +130,10 @@
     def describe_copy(self):
         return {}
 
+    async def wait_newer(self, _timeout_s):
+        await asyncio.sleep(0)
+        self.on_wait()
+
     @property
     def has_suspects(self):
         return bool(self.suspected)
@@ -722,3 +728,62 @@
 
     asyncio.run(scenario())
     assert sender.deadlines_s == [1.5, 1.2]
+
+
+UNKNOWN = attrs.evolve(REQUEST, request_target="/new/1")
+
+
+def await_route(fleet, request=UNKNOWN):
+    dispatcher = make_dispatcher(fleet, FakeSender(fleet, []))
+    return asyncio.run(dispatcher.await_route(request))
+
+
+def test_a_missing_route_is_refused_for_good_by_a_host_that_is_up_to_date():
+    with pytest.raises(errors.RefusedError) as refused:
+        await_route(FakeFleet(SAFE))
+    assert refused.value.code == results.UNKNOWN_ROUTE
+
+
+def test_a_missing_route_is_awaited_while_the_host_may_be_behind():
+    fleet = FakeFleet(SAFE)
+    fleet.may_refuse_unknown = False
+
+    def receive():
+        added = route(SAFE)
+        value = attrs.evolve(added.value, path_prefix="/new/")
+        fleet.routes = route_table.RouteTable(
+            [attrs.evolve(added, value=value)]
+        )
+
+    fleet.on_wait = receive
+    assert await_route(fleet).route.path_prefix == "/new/"
+
+
+def test_a_missing_route_is_refused_for_good_once_a_control_host_says_so():
+    fleet = FakeFleet(SAFE)
+    fleet.may_refuse_unknown = False
+
+    def confirm():
+        fleet.may_refuse_unknown = True
+
+    fleet.on_wait = confirm
+    with pytest.raises(errors.RefusedError) as refused:
+        await_route(fleet)
+    assert refused.value.code == results.UNKNOWN_ROUTE
+
+
+def test_without_a_control_host_a_missing_route_is_refused_as_not_run():
+    fleet = FakeFleet(SAFE)
+    fleet.connected = fleet.may_refuse_unknown = False
+    with pytest.raises(errors.RefusedError) as refused:
+        await_route(fleet)
+    assert refused.value.code == results.STATE_BEHIND
+    assert refused.value.retry_after_ms > 0
+
+
+def test_a_host_that_is_behind_for_too_long_refuses_all_requests():
+    fleet = FakeFleet(SAFE)
+    fleet.may_serve = False
+    with pytest.raises(errors.RefusedError) as refused:
+        await_route(fleet, REQUEST)
+    assert refused.value.code == results.STATE_BEHIND
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -38,6 +38,7 @@
     age_ms = 0
     entry_hosts = 1
     observations = None
+    copy_age_ms = 0
 
     def __init__(self):
         self.state = control.ControlState()
--- /dev/null
+++ b/tests/entries/test_state_watcher.py
@@ -0,0 +1,153 @@
+"""What an entry host learns from control hosts about its copy's age."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from goldcrestproxy.control import feed
+from goldcrestproxy.entries import state_watcher
+from goldcrestproxy import errors
+from goldcrestproxy import wire
+
+CONTROL_HOSTS = tuple(
+    wire.PeerAddress(f"10.0.0.{number}", 7000) for number in (1, 2)
+)
+
+
+class FakePeers:
+    """Control hosts that answer ``reply`` or raise ``error``."""
+
+    def __init__(self):
+        self.reply = reply()
+        self.error = None
+        self.asked = []
+        self.on_call = lambda: None
+
+    async def call(self, address, method, request, _timeout_ms):
+        assert method is wire.Method.WATCH
+        assert request.takes_parts
+        self.asked.append(address)
+        self.on_call()
+        if self.error is not None:
+            raise self.error
+        return self.reply
+
+
+def reply(binding_index=0, binding_age_ms=0):
+    return wire.ttypes.WatchReply(
+        serving=True,
+        entry_hosts=400,
+        map_index=binding_index or 0,
+        binding_index=binding_index,
+        binding_age_ms=binding_age_ms,
+    )
+
+
+@pytest.fixture
+def peers():
+    return FakePeers()
+
+
+@pytest.fixture
+def watcher(peers):
+    return state_watcher.StateWatcher(
+        state_watcher.WatcherSettings(
+            host="entry-0",
+            zone="zone-a",
+            session="s",
+            address="10.1.0.1",
+            peer_port=7000,
+            seeds=CONTROL_HOSTS,
+            watch_interval_ms=300,
+            watch_timeout_ms=600,
+        ),
+        peers=peers,
+    )
+
+
+def entries_to(index):
+    return wire.ttypes.FeedRequest(
+        previous_index=0,
+        last_index=index,
+        entries=feed._encode_entries([]),
+        snapshot=b"",
+    )
+
+
+def test_a_host_knows_that_it_is_behind_until_it_is_fed(watcher, peers):
+    peers.reply = reply(binding_index=5)
+    asyncio.run(watcher._watch())
+    assert not watcher.current
+    assert not watcher.may_refuse_unknown
+    asyncio.run(watcher._handle_feed(None, entries_to(5)))
+    assert watcher.may_refuse_unknown
+    assert 0 <= watcher.copy_age_ms < 1000
+    asyncio.run(watcher._watch())
+    assert watcher.current
+
+
+def test_a_follower_without_contact_does_not_make_a_host_current(
+    watcher, peers
+):
+    peers.reply = reply(binding_index=0, binding_age_ms=None)
+    asyncio.run(watcher._watch())
+    assert not watcher.current
+    assert not watcher.may_refuse_unknown
+    assert watcher.copy_age_ms == -1
+
+
+def test_a_control_host_of_an_earlier_build_is_believed(watcher, peers):
+    peers.reply = reply(binding_index=None, binding_age_ms=None)
+    asyncio.run(watcher._watch())
+    assert watcher.current
+    assert watcher.may_refuse_unknown
+
+
+def test_a_request_that_waits_is_answered_by_the_next_report(watcher, peers):
+    async def scenario():
+        running = asyncio.create_task(watcher.run())
+        await asyncio.sleep(state_watcher.ASKED_INTERVAL_S / 2)
+        reports = len(peers.asked)
+        # With 400 entry hosts the next report is due in 4 s.
+        async with asyncio.timeout(1.0):
+            await watcher.wait_newer(3.0)
+        assert len(peers.asked) == reports + 1
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_a_slow_answer_behind_a_feed_does_not_start_another_feed(
+    watcher, peers
+):
+    asyncio.run(watcher._watch())
+    peers.error = errors.PeerTimeoutError("slow")
+
+    def receive():
+        watcher.feeds_received += 1
+
+    peers.on_call = receive
+    asyncio.run(watcher._watch())
+    peers.on_call = lambda: None
+    asyncio.run(watcher._watch())
+    asyncio.run(watcher._watch())
+    first, second, third, fourth = peers.asked
+    assert first == second == third
+    assert fourth != third
+
+
+def test_the_first_part_of_a_feed_tells_that_a_host_is_behind(watcher, peers):
+    asyncio.run(watcher._watch())
+    part = wire.ttypes.FeedRequest(
+        previous_index=0,
+        last_index=5,
+        entries=b"start",
+        snapshot=b"",
+        offset_bytes=0,
+        more=True,
+        binding_index=5,
+    )
+    asyncio.run(watcher._handle_feed(None, part))
+    assert watcher._copy_age.is_behind
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -44,7 +44,7 @@
         self._outcome = outcome
         self._has_route = has_route
 
-    def find_route(self, request):
+    async def await_route(self, request):
         if not self._has_route:
             raise self._outcome
         return "route"
