Refuse heartbeats with values out of range, and send to no such target

A heartbeat with an incarnation of 10**30 was registered; the first answer of that target was measured, and the report of it could not be encoded in 64 bits: 'task StateWatcher.run ended unexpectedly', and every entry host ended.

Each field now has bounds, checked once where the heartbeat is decoded, and refusals describe a value in few words. Entry hosts do not track registered targets with values out of range: an earlier build may have logged them.

The same class elsewhere: headers of callers with long numbers, the own target protocol (nesting, NaN, clocks and orders beyond 64 bits, ports), bodies of operators, and infinite numbers in settings.

--- a/src/goldcrestproxy/callers/headers.py
+++ b/src/goldcrestproxy/callers/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 import typing as ty
 import uuid
 
@@ -19,6 +20,7 @@
 
 IDEMPOTENCY_KEY_BYTES_MAX: ty.Final = 255
 DEADLINE_MS_MAX: ty.Final = 3_600_000
+LENGTH_DIGITS_MAX: ty.Final = 20
 
 _REQUEST_ID: ty.Final = re.compile(r"[A-Za-z0-9._:-]+")
 # Set by goldcrestproxy only; the target would misinterpret a caller's values.
@@ -51,7 +53,11 @@
     value = headers.get(DEADLINE_MS)
     if value is None:
         return None
-    if not value.isdecimal() or not 1 <= int(value[:10]) <= DEADLINE_MS_MAX:
+    if (
+        not (value.isascii() and value.isdecimal())
+        or len(value) > LENGTH_DIGITS_MAX
+        or not 1 <= int(value) <= DEADLINE_MS_MAX
+    ):
         raise results.refusal(
             results.BAD_DEADLINE,
             f"{DEADLINE_MS} is {value[:32]!r}; 1 to {DEADLINE_MS_MAX} is "
@@ -80,7 +86,9 @@
     if "chunked" in headers.get("Transfer-Encoding", "").lower():
         return -1
     length = headers.get("Content-Length", "0")
-    return int(length) if length.isdecimal() else 0
+    if not length.isdecimal():
+        return 0
+    return int(length) if len(length) <= LENGTH_DIGITS_MAX else sys.maxsize
 
 
 def forwarded_headers(
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -373,7 +373,9 @@
                 (self._clock() - now_s) * 1000,
             )
         self.targets = {
-            name: self._track(record) for name, record in state.targets.items()
+            name: self._track(record)
+            for name, record in state.targets.items()
+            if record.usable
         }
         self._by_service = {}
         for tracked in self.targets.values():
--- a/src/goldcrestproxy/entries/target_prober.py
+++ b/src/goldcrestproxy/entries/target_prober.py
@@ -68,7 +68,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 stream = await self._client.connect(host, int(port))
-        except (OSError, iostream.StreamClosedError):
+        except (OSError, ValueError, iostream.StreamClosedError):
             return
         stream.close()
         self._contact.record_connection(name)
--- a/src/goldcrestproxy/operators/handlers.py
+++ b/src/goldcrestproxy/operators/handlers.py
@@ -53,7 +53,7 @@
         """
         try:
             body = json.loads(self.request.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise results.refusal(
                 results.BAD_REQUEST, f"the body is not JSON: {error}"
             ) from error
--- a/src/goldcrestproxy/platform/configuration.py
+++ b/src/goldcrestproxy/platform/configuration.py
@@ -95,7 +95,8 @@
     prefix = decoding.string(body, "path_prefix")
     if not prefix.startswith("/") or not prefix.endswith("/"):
         raise decoding.DecodingError(
-            f"path_prefix is {prefix!r}; it begins and ends with a slash"
+            f"path_prefix is {decoding.brief(prefix)}; it begins and ends "
+            "with a slash"
         )
     kinds = [kind.value for kind in registry.RouteKind]
     return registry.Route(
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -19,6 +19,7 @@
 LOG = logging.getLogger(__name__)
 
 BODY_BYTES_MAX: ty.Final = 1 << 30
+INTEGER_DIGITS_MAX: ty.Final = 20
 
 
 class IngressHandler(callers.StreamingHandler):
@@ -101,7 +102,11 @@
         value = self.request.headers.get(name)
         if value is None:
             return None
-        if not value.isdecimal() or int(value[:12]) > maximum:
+        if (
+            not (value.isascii() and value.isdecimal())
+            or len(value) > INTEGER_DIGITS_MAX
+            or int(value) > maximum
+        ):
             raise results.refusal(
                 results.BAD_REQUEST,
                 f"{name} is {value[:32]!r}; 0 to {maximum} is expected",
--- a/src/goldcrestproxy/registry/__init__.py
+++ b/src/goldcrestproxy/registry/__init__.py
@@ -13,6 +13,7 @@
 from goldcrestproxy.registry.commands import RegisterTarget
 from goldcrestproxy.registry.commands import SetZone
 from goldcrestproxy.registry.commands import SplitBlocks
+from goldcrestproxy.registry.endpoints import is_endpoint
 from goldcrestproxy.registry.items import CallerLimits
 from goldcrestproxy.registry.items import Item
 from goldcrestproxy.registry.items import ItemKey
@@ -38,11 +39,15 @@
 from goldcrestproxy.registry.messages import ReadItemsCall
 from goldcrestproxy.registry.messages import ReleasedRange
 from goldcrestproxy.registry.messages import SetZoneCall
+from goldcrestproxy.registry.state import INTEGER_MAX
 from goldcrestproxy.registry.state import RegisteredTarget
 from goldcrestproxy.registry.state import RegistryState
+from goldcrestproxy.registry.state import SLOTS_MAX
 
 __all__ = [
+    "INTEGER_MAX",
     "KEY_COUNT",
+    "SLOTS_MAX",
     "Accepted",
     "Answer",
     "BlockCut",
@@ -80,4 +85,5 @@
     "SetZone",
     "SetZoneCall",
     "SplitBlocks",
+    "is_endpoint",
 ]
--- a/src/goldcrestproxy/registry/state.py
+++ b/src/goldcrestproxy/registry/state.py
@@ -11,9 +11,14 @@
 import attrs
 
 from goldcrestproxy.registry import commands
+from goldcrestproxy.registry import endpoints
 from goldcrestproxy.registry import items
 from goldcrestproxy.registry import keyspace
 
+# Peers' messages hold integers of 64 bits.
+INTEGER_MAX: ty.Final = (1 << 63) - 1
+# Far above what a target runs at once. A higher number would draw all keys.
+SLOTS_MAX: ty.Final = 10_000
 LOST_TARGETS_MAX: ty.Final = 1_000
 # Far more than may leave while a late heartbeat of one is on its way.
 DEPARTED_TARGETS_MAX: ty.Final = 1_000
@@ -39,6 +44,18 @@
     cold_ms: int = 0
     cold_index: int = 0
 
+    @property
+    def usable(self) -> bool:
+        """Whether hosts can send to the target and report about it.
+
+        Earlier builds accepted heartbeats with values out of range.
+        """
+        return (
+            0 <= self.incarnation <= INTEGER_MAX
+            and 0 < self.slots <= SLOTS_MAX
+            and endpoints.is_endpoint(self.address)
+        )
+
     @property
     def accepts_work(self) -> bool:
         """Whether the target accepts requests, regardless of its zone."""
--- a/src/goldcrestproxy/settings/loading.py
+++ b/src/goldcrestproxy/settings/loading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 import re
 import typing as ty
@@ -92,6 +93,8 @@
         raise TypeError(
             f"is {value!r}; {_TYPE_DESCRIPTIONS[kind]} is expected"
         )
+    if kind is float and not math.isfinite(value):
+        raise TypeError(f"is {value}; a finite number is expected")
     return value
 
 
--- a/src/goldcrestproxy/targets/protocol.py
+++ b/src/goldcrestproxy/targets/protocol.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 import typing as ty
 
@@ -13,6 +12,7 @@
 
 from goldcrestproxy import control
 from goldcrestproxy import errors
+from goldcrestproxy import registry
 from goldcrestproxy import results
 from goldcrestproxy import settings
 from goldcrestproxy.settings import loading
@@ -31,6 +31,7 @@
 
 NAME_BYTES_MAX: ty.Final = 128
 REST_DIGITS_MAX: ty.Final = 9
+INTEGER_MAX: ty.Final = (1 << 63) - 1
 
 
 def _validate_name(_: ty.Any, attribute: ty.Any, value: str) -> None:
@@ -48,14 +49,11 @@
 
 def _validate_address(_: ty.Any, attribute: ty.Any, value: str) -> None:
     host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        if not 1 <= int(port) <= 65535:
-            raise ValueError
-    except ValueError:
+    if not registry.is_endpoint(f"{host.strip('[]')}:{port}"):
         raise ValueError(
-            f"{attribute.name}: is {value!r}; IP:PORT is expected"
-        ) from None
+            f"{attribute.name}: is {value[:NAME_BYTES_MAX]!r}; IP:PORT is "
+            "expected"
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -102,7 +100,7 @@
     try:
         value = json.loads(body)
         return settings.structure(Announcement, value, "announcement")
-    except (ValueError, errors.SettingsError) as error:
+    except (ValueError, RecursionError, errors.SettingsError) as error:
         raise results.refusal(results.BAD_ANNOUNCEMENT, str(error)) from error
 
 
@@ -162,8 +160,10 @@
     """
 
     incarnation: str
-    clock_ms: int
-    order: int
+    clock_ms: int = attrs.field(
+        validator=loading.in_range(-INTEGER_MAX, INTEGER_MAX)
+    )
+    order: int = attrs.field(validator=loading.in_range(0, INTEGER_MAX))
     cold: bool = False
     leaving: bool = False
     limit_per_s: float | None = None
@@ -181,8 +181,13 @@
             name: value[name] for name in field_names if name in value
         }
         return settings.structure(GrantAnswer, known_fields, "grant answer")
-    except (TypeError, ValueError, errors.SettingsError) as error:
-        raise errors.WireError(f"invalid grant answer: {error}") from (error)
+    except (
+        TypeError,
+        ValueError,
+        RecursionError,
+        errors.SettingsError,
+    ) as error:
+        raise errors.WireError(f"invalid grant answer: {error}") from error
 
 
 def slot_name(slot: control.Slot) -> str:
