Soak: check from outside which version of the routes each host uses

Each version of the configuration brings a route of its own. An observer asks each entry host for the routes of the last two versions. From 2 s after a confirmation no host may refuse the route as unknown, whatever the faults; it may serve an older one only if a fault keeps it from hearing; and no process may go back to an older version.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -326,6 +326,13 @@
                         "route_kind": "unsafe",
                         "service": "desk",
                     },
+                    {
+                        **route,
+                        "name": "version",
+                        "path_prefix": f"/v{version}/",
+                        "route_kind": "safe",
+                        "service": "desk",
+                    },
                     {
                         **route,
                         "name": "photo",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,9 @@
 SLOW_BODY_S_MAX = 3.0
 LONG_PAUSE_SHARE = 0.05
 LONG_PAUSE_S_MAX = 4.0
+OBSERVATION_INTERVAL_S = 0.05
+# Code of the refusal of a keyed request without a key.
+NO_KEY_CODE = 2002
 
 
 @attrs.frozen(kw_only=True)
@@ -266,6 +269,71 @@
     return int(first.split(" ")[1]), headers, body
 
 
+@attrs.define
+class Sighting:
+    """Whether an entry host had the route that a version brings alone."""
+
+    entry: str
+    version: int
+    sent_s: float
+    done_s: float
+    found: bool
+
+
+class VersionObserver:
+    """Asks an entry host again and again for the routes of versions.
+
+    :param operator: names the versions and when they were sent
+    :param sightings: list to which each answer that tells is added
+    """
+
+    def __init__(self, entry, address, operator, sightings):
+        self._entry = entry
+        self._address = address
+        self._operator = operator
+        self._sightings = sightings
+        self._streams = None
+
+    async def run(self):
+        """Ask until cancelled, on one connection at a time."""
+        while True:
+            versions = sorted(self._operator.sent_s)[-2:]
+            for version in versions:
+                try:
+                    async with asyncio.timeout(2.0):
+                        await self._ask(version)
+                except (OSError, EOFError, TimeoutError):
+                    if self._streams is not None:
+                        self._streams[1].close()
+                    self._streams = None
+            await asyncio.sleep(OBSERVATION_INTERVAL_S)
+
+    async def _ask(self, version):
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(*self._address)
+        reader, writer = self._streams
+        sent_s = time.monotonic()
+        # Without a key it is refused before it reaches a target.
+        writer.write(
+            f"GET /v{version}/ HTTP/1.1\r\nHost: desk.example\r\n\r\n".encode()
+        )
+        status, headers, answer = await _read_answer(reader)
+        if headers.get("connection", "").lower() == "close":
+            writer.close()
+            self._streams = None
+        code = json.loads(answer).get("code")
+        if status == 404 or code == NO_KEY_CODE:
+            self._sightings.append(
+                Sighting(
+                    self._entry,
+                    version,
+                    sent_s,
+                    time.monotonic(),
+                    found=status != 404,
+                )
+            )
+
+
 class Operator:
     """Change the configuration repeatedly and record what was acknowledged."""
 
@@ -275,6 +343,9 @@
         self._rng = random.Random(f"{seed}/operator")
         self.sent = {}
         self.acknowledged = 0
+        # By version, when it was first sent, and when it was acknowledged.
+        self.sent_s = {}
+        self.acknowledged_s = {}
 
     async def run(self):
         """Send about a change a second, each until it is acknowledged.
@@ -288,10 +359,12 @@
             timeout_ms = self._rng.randint(5_000, 30_000)
             self.sent[version] = timeout_ms
             body = self._make_items(version, timeout_ms=timeout_ms)
+            self.sent_s[version] = time.monotonic()
             while True:
                 status, _ = await self.call("PATCH", body)
                 if status == 200:
                     self.acknowledged = version
+                    self.acknowledged_s[version] = time.monotonic()
                     break
                 if status is not None and 400 <= status < 500:
                     raise AssertionError(f"refused version {version}")
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,13 @@
 # A request that is cut later than this after its last byte did not cross the
 # close of an idle connection.
 CROSSING_S_MAX = 0.2
+# Time from the acknowledgement of a change until it binds every host.
+IN_FORCE_S = 2.0
+# After another answer, a process may still give an older one for so long.
+REGRESSION_SLACK_S = 0.25
+# Time without faults at a host and its way to control hosts, after which a
+# change must be in force there.
+CONTACT_S = 3.0
 # Time for a process to stop.
 GRACE_S = 6.0
 
@@ -253,6 +260,68 @@
             yield f"CONFIG: {name} {version} is not what was sent"
 
 
+def check_versions(
+    sightings, sent_s, acknowledged_s, exit_times_s, fault_spans
+):
+    """Yield a line for each answer that only an older version allows.
+
+    A host that cannot hear of a change may serve the routes that it has, but
+    must not refuse one as unknown, and none may go back to an older version.
+
+    :param sent_s: times at which versions were sent, by version
+    :param acknowledged_s: times at which they were acknowledged
+    :param exit_times_s: times at which each process ended, by its name
+    """
+    seen = {}
+    for sighting in sorted(sightings, key=lambda s: s.done_s):
+        binding = max(
+            (
+                version
+                for version, at_s in acknowledged_s.items()
+                if at_s + IN_FORCE_S < sighting.sent_s
+            ),
+            default=0,
+        )
+        possible = [v for v, at_s in sent_s.items() if at_s < sighting.done_s]
+        is_newest = sighting.version == max(possible, default=0)
+        text = (
+            f"CONFIG: {sighting.entry}, at {sighting.sent_s:.3f}: route of "
+            f"version {sighting.version} is "
+            f"{'in force' if sighting.found else 'unknown'}"
+        )
+        outdated = sighting.found and sighting.version < binding
+        if outdated and not _is_disturbed(sighting, fault_spans):
+            yield f"{text}, {binding} was acknowledged"
+        if not sighting.found and is_newest and sighting.version <= binding:
+            yield f"{text}, it was acknowledged"
+        lifetime = sum(
+            end_s < sighting.sent_s
+            for end_s in exit_times_s.get(sighting.entry, ())
+        )
+        known = seen.setdefault((sighting.entry, lifetime), (0, 0.0))
+        if sighting.sent_s > known[1] + REGRESSION_SLACK_S and (
+            (sighting.found and sighting.version < known[0])
+            or (
+                not sighting.found
+                and is_newest
+                and sighting.version == known[0]
+            )
+        ):
+            yield f"{text}, {known[0]} was in force there before"
+        if sighting.found and sighting.version > known[0]:
+            seen[sighting.entry, lifetime] = sighting.version, sighting.done_s
+
+
+def _is_disturbed(sighting, fault_spans):
+    """Whether the host may not have heard of a change, for a fault."""
+    return any(
+        (span.process == sighting.entry or "control" in span.process)
+        and span.from_s < sighting.done_s
+        and (span.lasting or span.to_s > sighting.sent_s - CONTACT_S)
+        for span in fault_spans
+    )
+
+
 def check_recovery(outcomes, from_s):
     """Yield a line when too few requests are served after all faults."""
     late = [o for o in outcomes if o.sent_s >= from_s and o.done_s]
--- a/tests/soak/running.py
+++ b/tests/soak/running.py
@@ -62,6 +62,7 @@
         self.target_names = [f"target-{n}" for n in range(targets)]
         self.links = {}
         self.outcomes = []
+        self.sightings = []
         self.exit_times_s = {}
         self.planned_stops = []
         self.fault_spans = []
@@ -161,7 +162,7 @@
         senders = list(self._callers())
         traffic_tasks = [
             asyncio.create_task(sender.run())
-            for sender in [operator, *senders]
+            for sender in [operator, *senders, *self._observers(operator)]
         ]
         exit_watch = asyncio.create_task(self._watch_exits())
         started_s = time.monotonic()
@@ -207,6 +208,14 @@
             LOSSES_TOLERATED,
         )
 
+    def _observers(self, operator):
+        port = self.fleet.ports["callers"]
+        for n, name in enumerate(self.entry_names):
+            address = f"127.0.0.{n + 11}", port
+            yield callers.VersionObserver(
+                name, address, operator, self.sightings
+            )
+
     def _callers(self):
         port = self.fleet.ports["callers"]
         addresses = {
@@ -381,6 +390,13 @@
             self.fault_spans,
         )
         violations += checks.check_recovery(self.outcomes, quiet_s)
+        violations += checks.check_versions(
+            self.sightings,
+            operator.sent_s,
+            operator.acknowledged_s,
+            self.exit_times_s,
+            self.fault_spans,
+        )
         read = None
         for _ in range(20):
             read = await operator.read_back()
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -327,3 +327,62 @@
     assert b"Drop-Silently: 1" in heads[0]
     assert b"Work-Seconds: 1.000" in heads[0]
     assert b"Content-Length: 4" in heads[0]
+
+
+def sighting(version, at_s, *, found, entry="entry-0"):
+    return callers.Sighting(entry, version, at_s, at_s + 0.01, found=found)
+
+
+def versions_checked(sightings, exit_times_s=None, fault_spans=()):
+    """Version 2 is sent at 10 s, version 3 at 20 s, confirmed 0.1 s later."""
+    return [
+        violation.partition(":")[0]
+        for violation in checks.check_versions(
+            sightings,
+            {2: 10.0, 3: 20.0},
+            {2: 10.1, 3: 20.1},
+            exit_times_s or {},
+            fault_spans,
+        )
+    ]
+
+
+def test_versions_that_come_in_force_in_time_are_no_violation():
+    assert not versions_checked(
+        [
+            sighting(2, 11.0, found=False),
+            sighting(2, 12.5, found=True),
+            sighting(2, 21.0, found=True),
+            sighting(3, 21.1, found=False),
+            sighting(3, 22.0, found=True),
+            sighting(2, 22.5, found=False),
+        ]
+    )
+
+
+@pytest.mark.parametrize(
+    "sightings",
+    [
+        [sighting(2, 12.5, found=False)],
+        [sighting(2, 22.5, found=True)],
+        [sighting(3, 20.2, found=True), sighting(2, 20.8, found=True)],
+        [sighting(2, 10.3, found=True), sighting(2, 10.8, found=False)],
+    ],
+)
+def test_answers_that_only_an_older_version_allows_are_violations(sightings):
+    assert versions_checked(sightings) == ["CONFIG"]
+
+
+def test_a_host_that_hears_of_nothing_may_serve_but_not_refuse():
+    faults = [checks.FaultSpan("control-1", 20.0, 23.0)]
+    assert not versions_checked(
+        [sighting(2, 22.5, found=True)], fault_spans=faults
+    )
+    assert versions_checked(
+        [sighting(3, 22.5, found=False)], fault_spans=faults
+    ) == ["CONFIG"]
+
+
+def test_a_new_process_may_be_behind_the_one_before():
+    sightings = [sighting(3, 20.2, found=True), sighting(2, 20.8, found=True)]
+    assert not versions_checked(sightings, {"entry-0": [20.5]})
