Keep probing when a target is removed between its choice and its probe

A target that left between the choice of the probes and the start of this one was looked up without a check; the end of that task ends the daemon.

--- a/src/goldcrestproxy/entries/target_prober.py
+++ b/src/goldcrestproxy/entries/target_prober.py
@@ -63,8 +63,11 @@
             await asyncio.gather(*(self._probe(name) for name in probed))
 
     async def _probe(self, name: str) -> None:
-        address = self._fleet.targets[name].record.address
-        host, _, port = address.rpartition(":")
+        target = self._fleet.targets.get(name)
+        if target is None:
+            # It was removed after this probe was chosen.
+            return
+        host, _, port = target.record.address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 stream = await self._client.connect(host, int(port))
