Feed a host from one control host only, and send more parts at once

Hosts that had turned to another control host were fed by both for ten seconds more, over links of 4.2 Mbit/s: 37,859 bytes from core-bkk-b-1 and core-spk-d-1 at the same time.

A host now closes the channel to a control host that no longer serves it, once no message arrives in parts, and does not return to its preferred control host in the middle of one. 16 parts are in flight, which costs one such answer for any change up to 128 kB; each may take as long as those before it need on a link of 16 kB/s.

--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -27,8 +27,11 @@
 # a slow link delays a message without failing it, and other messages on the
 # channel do not wait for all of it.
 PART_BYTES: ty.Final = 8 * 1024
-# Parts that are sent before the first of them is answered.
-PARTS_IN_FLIGHT_MAX: ty.Final = 4
+# Parts that are sent before the first of them is answered. Under load an
+# answer takes up to a second, in which a free link carries all of them.
+PARTS_IN_FLIGHT_MAX: ty.Final = 16
+# A part may take this much longer for each byte that was sent before it.
+LINK_BYTES_PER_S_MIN: ty.Final = 16 * 1024
 # Pause between two messages to one daemon, times the number of daemons fed
 # here. It batches commits and leaves the host time for other work.
 FEED_PAUSE_PER_DAEMON_S: ty.Final = 0.002
@@ -268,9 +271,13 @@
         for message in messages:
             if len(in_flight) == PARTS_IN_FLIGHT_MAX:
                 await in_flight.popleft()
+            bytes_before = len(in_flight) * PART_BYTES
+            timeout_ms = (
+                FEED_TIMEOUT_MS + bytes_before * 1000 // LINK_BYTES_PER_S_MIN
+            )
             in_flight.append(
                 asyncio.create_task(
-                    channel.call(wire.Method.FEED, message, FEED_TIMEOUT_MS)
+                    channel.call(wire.Method.FEED, message, timeout_ms)
                 )
             )
         while in_flight:
--- a/src/goldcrestproxy/entries/state_copy.py
+++ b/src/goldcrestproxy/entries/state_copy.py
@@ -32,6 +32,11 @@
         self._listeners: list[ty.Callable[[], None]] = []
         self._change_signal = signals.Signal()
 
+    @property
+    def receives_message(self) -> bool:
+        """Whether parts of a message have arrived and others are to come."""
+        return any(not channel.closed for channel in self._parts)
+
     def add_listener(self, callback: ty.Callable[[], None]) -> None:
         """Call ``callback`` after each change of the state."""
         self._listeners.append(callback)
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -102,6 +102,8 @@
         self._address = self._ranked_addresses()[0]
         self._preferred_tried_s = clock()
         self._connected = False
+        # Control hosts that served this host before, whose feeds may go on.
+        self._former: set[wire.PeerAddress] = set()
 
     def add_limit_listener(self, callback: LimitListener) -> None:
         """Call ``callback`` with the leader's limits after each report."""
@@ -189,6 +191,7 @@
         while True:
             self._report_wanted.clear()
             if await self._watch():
+                self._end_former_feeds()
                 self._return_to_preferred()
                 await self._wait_interval()
             else:
@@ -356,9 +359,29 @@
         text = f"{self._settings.host} {address.address} {address.peer_port}"
         return xxhash.xxh3_64_intdigest(text.encode())
 
+    def _end_former_feeds(self) -> None:
+        """Close channels to control hosts that no longer serve this host.
+
+        Their feeds would bring each change a second time.
+        """
+        self._former.discard(self._address)
+        if not self.receives_message:
+            self._former = {
+                address
+                for address in self._former
+                if not self._peers.close_unused(address)
+            }
+        self._former.add(self._address)
+
     def _return_to_preferred(self) -> None:
-        """Switch to the preferred control host every ``PREFERRED_RETRY_S``."""
-        if self._clock() < self._preferred_tried_s + PREFERRED_RETRY_S:
+        """Switch to the preferred control host every ``PREFERRED_RETRY_S``.
+
+        Not while parts of a message arrive, which would begin anew there.
+        """
+        if (
+            self._clock() < self._preferred_tried_s + PREFERRED_RETRY_S
+            or self.receives_message
+        ):
             return
         self._preferred_tried_s = self._clock()
         self._retry_ranks = itertools.count(1)
--- a/src/goldcrestproxy/wire/channel.py
+++ b/src/goldcrestproxy/wire/channel.py
@@ -109,6 +109,11 @@
         """Whether exchanges are open or frames have yet to be written."""
         return bool(self._relays) or self._stream.writing()
 
+    @property
+    def in_use(self) -> bool:
+        """Whether this end awaits replies or has exchanges open."""
+        return bool(self._replies or self._relays)
+
     async def run(self) -> None:
         """Send the hello, then read frames until the connection ends."""
         self.send(frames.FrameKind.HELLO, 0, codec.encode(self._hello))
--- a/src/goldcrestproxy/wire/peers.py
+++ b/src/goldcrestproxy/wire/peers.py
@@ -133,6 +133,19 @@
         channel = await self.channel(address)
         channel.open(exchange)
 
+    def close_unused(self, address: PeerAddress) -> bool:
+        """Close the channel to a peer unless it is in use here.
+
+        Returns whether there is none any more.
+        """
+        channel = self._channels.get(address)
+        if channel is None or channel.closed:
+            return True
+        if channel.in_use:
+            return False
+        channel.close()
+        return True
+
     def close(self) -> None:
         """Close every channel of the pool."""
         for channel in self._channels.values():
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -107,7 +107,8 @@
 
 def commit_long(replica, rng):
     """Commit a change of which the compressed text is long."""
-    commit(replica, rng.randbytes(feed.PART_BYTES * 6).hex())
+    part_count = feed.PARTS_IN_FLIGHT_MAX + 4
+    commit(replica, rng.randbytes(feed.PART_BYTES * part_count).hex())
 
 
 def feed_until_applied(replica, channel, *, takes_parts=True):
--- a/tests/entries/test_state_watcher.py
+++ b/tests/entries/test_state_watcher.py
@@ -23,6 +23,7 @@
         self.reply = reply()
         self.error = None
         self.asked = []
+        self.closed = []
         self.on_call = lambda: None
 
     async def call(self, address, method, request, _timeout_ms):
@@ -34,6 +35,14 @@
             raise self.error
         return self.reply
 
+    def close_unused(self, address):
+        self.closed.append(address)
+        return True
+
+
+class FakeChannel:
+    closed = False
+
 
 def reply(binding_index=0, binding_age_ms=0):
     return wire.ttypes.WatchReply(
@@ -151,3 +160,51 @@
     )
     asyncio.run(watcher._handle_feed(None, part))
     assert watcher._copy_age.is_behind
+
+
+def test_a_host_is_fed_by_one_control_host_at_a_time(watcher, peers):
+    async def report():
+        assert await watcher._watch()
+        watcher._end_former_feeds()
+
+    asyncio.run(report())
+    (first,) = peers.asked
+    watcher._address = watcher._next_address()
+    asyncio.run(report())
+    assert peers.asked[-1] != first
+    assert peers.closed == [first]
+    asyncio.run(report())
+    assert peers.closed == [first]
+
+
+def test_a_message_that_arrives_in_parts_is_not_begun_anew_elsewhere(
+    watcher, peers
+):
+    part = wire.ttypes.FeedRequest(
+        previous_index=0,
+        last_index=5,
+        entries=b"start",
+        snapshot=b"",
+        offset_bytes=0,
+        more=True,
+    )
+    channel = FakeChannel()
+
+    async def scenario():
+        assert await watcher._watch()
+        watcher._end_former_feeds()
+        await watcher._handle_feed(channel, part)
+        watcher._address = watcher._next_address()
+        watcher._preferred_tried_s -= state_watcher.PREFERRED_RETRY_S
+        address = watcher._address
+        watcher._end_former_feeds()
+        watcher._return_to_preferred()
+        assert watcher._address == address
+        assert peers.closed == []
+        channel.closed = True
+        watcher._end_former_feeds()
+        watcher._return_to_preferred()
+        assert peers.closed == [peers.asked[0]]
+        assert watcher._address != address
+
+    asyncio.run(scenario())
