--- a/src/goldcrestproxy/routing/copy_age.py
+++ b/src/goldcrestproxy/routing/copy_age.py
@@ -9,7 +9,8 @@
   was the newest one less than the bound ago.
 - A request with a route is served from any copy while no control host answers:
   then nothing says that the copy is outdated. Once a host knows that it is
-  behind, it serves no longer than the bound allows.
+  behind, it serves no longer than the bound allows. After an absence that is
+  counted from its return, so that it can catch up first.
 """
 
 from __future__ import annotations
@@ -27,6 +28,9 @@
 UNKNOWN_ROUTE_SHARE: ty.Final = 0.75
 # Share of that time after which a host that is behind stops serving.
 BEHIND_SHARE: ty.Final = 0.9
+# Share of that time without an answer of a control host after which a host
+# was out of contact. Changes bind it only some time after its return.
+ABSENCE_SHARE: ty.Final = 1.5
 # A feed may arrive this much later than the answer that announces it.
 FEED_GRACE_S: ty.Final = 0.3
 # Reports that are kept; more changes than that are followed less exactly.
@@ -53,7 +57,10 @@
         """
         self._unknown_route_s = in_force_ms / 1000 * UNKNOWN_ROUTE_SHARE
         self._behind_s = in_force_ms / 1000 * BEHIND_SHARE
+        self._absence_s = in_force_ms / 1000 * ABSENCE_SHARE
         self._newest_as_of_s = -math.inf
+        self._last_report_s = -math.inf
+        self._returned_s = -math.inf
         # Reports of changes that are not applied yet, oldest first.
         self._pending: collections.deque[_Report] = collections.deque(
             maxlen=REPORTS_MAX
@@ -81,6 +88,9 @@
         :param as_of_s: when it was the last one of all control hosts
         :param applied_index: index of the last entry that is applied here
         """
+        if now_s - self._last_report_s > self._absence_s:
+            self._returned_s = now_s
+        self._last_report_s = now_s
         self._pending.append(
             _Report(binding_index=binding_index, as_of_s=as_of_s, told_s=now_s)
         )
@@ -117,7 +127,8 @@
 
     def may_serve(self, now_s: float) -> bool:
         """Whether requests may be served by the routes of the copy."""
-        if not self._pending or self.age_s(now_s) < self._behind_s:
+        since_s = max(self._newest_as_of_s, self._returned_s)
+        if not self._pending or now_s - since_s < self._behind_s:
             return True
         told_s = min(report.told_s for report in self._pending)
         return now_s - told_s < FEED_GRACE_S
