Count a host's return from its failed reports; report the copy's age as a metric

With 300 entry hosts reports are 3 s apart, so that each would have counted as a return from an absence, and a host that is behind would have served 1.8 s more each time. The absence now lasts from the first report that failed to the next answer. goldcrestproxy_copy_age_ms says how old a host's state is, and a test covers hosts of the own interface without a lease.

--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -256,6 +256,7 @@
         ),
         peering.peers,
     )
+    metrics.observe_copy_age(lambda: link.copy_age_ms)
     gate = callers.Gate()
     fleet = entries.FleetMap(link, clock, rng, fleet_settings.drain_ms)
     contact = target_contact.TargetContact()
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -102,6 +102,7 @@
         self._address = self._ranked_addresses()[0]
         self._preferred_tried_s = clock()
         self._connected = False
+        self._disconnected_s = clock()
         # Control hosts that served this host before, whose feeds may go on.
         self._former: set[wire.PeerAddress] = set()
 
@@ -322,6 +323,8 @@
                 self.state.applied_index,
             )
             self.observations.repeat_runs()
+            now_s = self._clock()
+            self._copy_age.record_return(now_s - self._disconnected_s, now_s)
         self._connected = True
 
     def _record_disconnected(self, reason: str) -> None:
@@ -331,6 +334,7 @@
                 reason,
                 self.state.applied_index,
             )
+            self._disconnected_s = self._clock()
         self._connected = False
 
     def _hinted_address(
--- a/src/goldcrestproxy/routing/copy_age.py
+++ b/src/goldcrestproxy/routing/copy_age.py
@@ -28,9 +28,6 @@
 UNKNOWN_ROUTE_SHARE: ty.Final = 0.75
 # Share of that time after which a host that is behind stops serving.
 BEHIND_SHARE: ty.Final = 0.9
-# Share of that time without an answer of a control host after which a host
-# was out of contact. Changes bind it only some time after its return.
-ABSENCE_SHARE: ty.Final = 1.5
 # A feed may arrive this much later than the answer that announces it.
 FEED_GRACE_S: ty.Final = 0.3
 # Reports that are kept; more changes than that are followed less exactly.
@@ -57,9 +54,8 @@
         """
         self._unknown_route_s = in_force_ms / 1000 * UNKNOWN_ROUTE_SHARE
         self._behind_s = in_force_ms / 1000 * BEHIND_SHARE
-        self._absence_s = in_force_ms / 1000 * ABSENCE_SHARE
+        self._absence_s = in_force_ms / 1000
         self._newest_as_of_s = -math.inf
-        self._last_report_s = -math.inf
         self._returned_s = -math.inf
         # Reports of changes that are not applied yet, oldest first.
         self._pending: collections.deque[_Report] = collections.deque(
@@ -88,14 +84,19 @@
         :param as_of_s: when it was the last one of all control hosts
         :param applied_index: index of the last entry that is applied here
         """
-        if now_s - self._last_report_s > self._absence_s:
-            self._returned_s = now_s
-        self._last_report_s = now_s
         self._pending.append(
             _Report(binding_index=binding_index, as_of_s=as_of_s, told_s=now_s)
         )
         self.record_applied(applied_index)
 
+    def record_return(self, absence_s: float, now_s: float) -> None:
+        """Record that a control host answers again.
+
+        :param absence_s: time since none answered
+        """
+        if absence_s > self._absence_s:
+            self._returned_s = now_s
+
     def record_announced(self, binding_index: int, now_s: float) -> None:
         """Record a binding change that is on its way to this host."""
         known = any(
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -4,6 +4,7 @@
 
 import typing as ty
 
+from opentelemetry import metrics as api
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk.metrics import export
 from opentelemetry.sdk import resources
@@ -22,6 +23,7 @@
     def __init__(self, provider: sdk.MeterProvider, reader: ty.Any) -> None:
         """Create the instruments; ``reader`` collects them in memory."""
         meter = provider.get_meter("goldcrestproxy")
+        self._meter = meter
         self._provider = provider
         self._reader = reader
         self.requests = meter.create_counter(
@@ -60,6 +62,18 @@
             description="Calls of operators, by how they were answered.",
         )
 
+    def observe_copy_age(self, read_ms: ty.Callable[[], int]) -> None:
+        """Report the age of an entry host's state at each collection.
+
+        :param read_ms: returns milliseconds, -1 while the age is unknown
+        """
+        self._meter.create_observable_gauge(
+            "goldcrestproxy.copy.age",
+            callbacks=[lambda _: [api.Observation(read_ms())]],
+            unit="ms",
+            description="Time since this host's state was the newest one.",
+        )
+
     def collect(self) -> export.MetricsData | None:
         """Return the current values of all metrics, None if there are none."""
         data: export.MetricsData | None = self._reader.get_metrics_data()
--- a/tests/entries/test_state_watcher.py
+++ b/tests/entries/test_state_watcher.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import types
 
 import pytest
 
 from goldcrestproxy.control import feed
 from goldcrestproxy.entries import state_watcher
 from goldcrestproxy import errors
+from goldcrestproxy import settings
+from goldcrestproxy import telemetry
 from goldcrestproxy import wire
 
 CONTROL_HOSTS = tuple(
@@ -60,7 +63,12 @@
 
 
 @pytest.fixture
-def watcher(peers):
+def clock():
+    return types.SimpleNamespace(now_s=100.0)
+
+
+@pytest.fixture
+def watcher(peers, clock):
     return state_watcher.StateWatcher(
         state_watcher.WatcherSettings(
             host="entry-0",
@@ -73,6 +81,7 @@
             watch_timeout_ms=600,
         ),
         peers=peers,
+        clock=lambda: clock.now_s,
     )
 
 
@@ -208,3 +217,28 @@
         assert watcher._address != address
 
     asyncio.run(scenario())
+
+
+def test_a_host_that_was_cut_off_serves_until_it_can_have_caught_up(
+    watcher, peers, clock
+):
+    asyncio.run(watcher._watch())
+    peers.error = errors.ChannelClosedError("cut")
+    asyncio.run(watcher._watch())
+    clock.now_s += 10.0
+    assert watcher.may_serve
+    peers.error, peers.reply = None, reply(binding_index=9)
+    asyncio.run(watcher._watch())
+    clock.now_s += 1.0
+    assert watcher.may_serve
+    clock.now_s += 1.0
+    assert not watcher.may_serve
+
+
+def test_the_age_of_the_copy_is_a_metric(watcher, peers, clock):
+    metrics = telemetry.make_metrics(settings.Telemetry(), "test")
+    metrics.observe_copy_age(lambda: watcher.copy_age_ms)
+    assert metrics.read_totals()["goldcrestproxy.copy.age"] == -1
+    asyncio.run(watcher._watch())
+    clock.now_s += 0.5
+    assert metrics.read_totals()["goldcrestproxy.copy.age"] == 500
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -383,3 +383,27 @@
     winner = codes.index(0)
     assert change(winner) == 0
     assert cluster.cli_json("get")["revision"] == 2
+
+
+@pytest.mark.parametrize(
+    ("path", "code"),
+    [
+        ("/nobody/pitches/pitches/p1", 1002),
+        ("/kisvaros/none/pitches/p1", 1003),
+        ("/kisvaros/pitches/none/p1", 1004),
+    ],
+)
+def test_a_host_without_a_lease_refuses_nothing_as_unknown(
+    cluster, path, code
+):
+    host = cluster.hosts["entry-d"]
+    url = f"{host.caller_url}{path}"
+    clusters.wait_until(
+        lambda: clusters.fetch(url).code == code, "the host has a lease"
+    )
+    for other in cluster.control_hosts:
+        other.process.kill()
+    clusters.wait_until(
+        lambda: clusters.fetch(url).code == 2008, "the lease has ended"
+    )
+    assert clusters.fetch(url).outcome == "not-run"
