--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import logging
 import math
@@ -102,7 +101,6 @@
         self._address = self._ranked_addresses()[0]
         self._preferred_tried_s = clock()
         self._connected = False
-        self._disconnected_s = clock()
         # Control hosts that served this host before, whose feeds may go on.
         self._former: set[wire.PeerAddress] = set()
 
@@ -192,18 +190,36 @@
         while True:
             self._report_wanted.clear()
             if await self._watch():
+                served_by = self._address
                 self._end_former_feeds()
                 self._return_to_preferred()
-                await self._wait_interval()
+                await self._wait_interval(served_by)
             else:
                 await asyncio.sleep(RETRY_S)
 
-    async def _wait_interval(self) -> None:
-        """Wait until the next report is due or wanted."""
+    async def _wait_interval(self, served_by: wire.PeerAddress) -> None:
+        """Wait until the next report is due or wanted.
+
+        Turns to another control host at once when the channel to the one
+        that serves this host closes: nothing feeds it any more.
+        """
         await asyncio.sleep(ASKED_INTERVAL_S)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._interval_s - ASKED_INTERVAL_S):
-                await self._report_wanted.wait()
+        wanted = asyncio.create_task(self._report_wanted.wait())
+        closed = asyncio.create_task(self._peers.wait_closed(served_by))
+        try:
+            await asyncio.wait(
+                (wanted, closed),
+                timeout=self._interval_s - ASKED_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            wanted.cancel()
+            closed.cancel()
+        if closed.done() and self._address == served_by:
+            self._record_disconnected(
+                f"{served_by.address} closed the channel"
+            )
+            self._address = self._next_address()
 
     @property
     def _interval_s(self) -> float:
@@ -323,8 +339,6 @@
                 self.state.applied_index,
             )
             self.observations.repeat_runs()
-            now_s = self._clock()
-            self._copy_age.record_return(now_s - self._disconnected_s, now_s)
         self._connected = True
 
     def _record_disconnected(self, reason: str) -> None:
@@ -334,7 +348,6 @@
                 reason,
                 self.state.applied_index,
             )
-            self._disconnected_s = self._clock()
         self._connected = False
 
     def _hinted_address(
--- a/src/goldcrestproxy/wire/peers.py
+++ b/src/goldcrestproxy/wire/peers.py
@@ -133,6 +133,15 @@
         channel = await self.channel(address)
         channel.open(exchange)
 
+    async def wait_closed(self, address: PeerAddress) -> None:
+        """Wait until the open channel to a peer has closed, if there is one.
+
+        A later channel to the same peer is not awaited.
+        """
+        channel = self._channels.get(address)
+        if channel is not None:
+            await channel.wait_closed()
+
     def close_unused(self, address: PeerAddress) -> bool:
         """Close the channel to a peer unless it is in use here.
 
--- a/tests/entries/test_state_watcher.py
+++ b/tests/entries/test_state_watcher.py
@@ -27,6 +27,7 @@
         self.error = None
         self.asked = []
         self.closed = []
+        self.channel_closed = asyncio.Event()
         self.on_call = lambda: None
 
     async def call(self, address, method, request, _timeout_ms):
@@ -38,6 +39,9 @@
             raise self.error
         return self.reply
 
+    async def wait_closed(self, _address):
+        await self.channel_closed.wait()
+
     def close_unused(self, address):
         self.closed.append(address)
         return True
@@ -219,7 +223,7 @@
     asyncio.run(scenario())
 
 
-def test_a_host_that_was_cut_off_serves_until_it_can_have_caught_up(
+def test_a_host_that_was_cut_off_serves_as_before_until_it_is_told(
     watcher, peers, clock
 ):
     asyncio.run(watcher._watch())
@@ -229,10 +233,26 @@
     assert watcher.may_serve
     peers.error, peers.reply = None, reply(binding_index=9)
     asyncio.run(watcher._watch())
-    clock.now_s += 1.0
-    assert watcher.may_serve
-    clock.now_s += 1.0
+    clock.now_s += 0.4
     assert not watcher.may_serve
+    asyncio.run(watcher._handle_feed(None, entries_to(9)))
+    assert watcher.may_serve
+
+
+def test_a_host_turns_to_another_control_host_when_its_channel_closes(
+    watcher, peers
+):
+    async def scenario():
+        running = asyncio.create_task(watcher.run())
+        await asyncio.sleep(state_watcher.ASKED_INTERVAL_S * 2)
+        assert len(peers.asked) == 1
+        peers.channel_closed.set()
+        # With 400 entry hosts the next report is due in 4 s.
+        await asyncio.sleep(state_watcher.ASKED_INTERVAL_S)
+        running.cancel()
+
+    asyncio.run(scenario())
+    assert peers.asked[1] != peers.asked[0]
 
 
 def test_the_age_of_the_copy_is_a_metric(watcher, peers, clock):
