Do not close the channel of a busy entry host at the end that accepted it

Only the end that opened a channel needs it and replaces it when it is silent. The other end now waits three times as long; a feed that is not answered still ends after its own time-out. The test failed before: the channel was closed while its peer was busy for twice the time.

--- a/src/goldcrestproxy/wire/channel.py
+++ b/src/goldcrestproxy/wire/channel.py
@@ -22,6 +22,10 @@
 LOG = logging.getLogger(__name__)
 
 READ_BYTES: ty.Final = 256 * 1024
+# The end that accepted a channel waits this much longer for its peer. Closing
+# it only costs a busy peer the set-up of another one; the peer itself, which
+# needs the channel, replaces one that is silent.
+ACCEPTED_SILENCE_FACTOR: ty.Final = 3
 
 CallHandler = ty.Callable[["Channel", ty.Any], ty.Awaitable[ty.Any]]
 ExchangeHandler = ty.Callable[[exchanges.Exchange], ty.Awaitable[None]]
@@ -51,8 +55,9 @@
 class ChannelTiming:
     """Intervals and time-outs of a channel.
 
-    A channel closes after ``silence_ms`` without received bytes. Its
-    initiator also closes it after ``idle_ms`` without calls or exchanges.
+    A channel closes after ``silence_ms`` without received bytes, at the end
+    that accepted it after ``ACCEPTED_SILENCE_FACTOR`` times that. Its initiator
+    also closes it after ``idle_ms`` without calls or exchanges.
     """
 
     heartbeat_ms: int
@@ -258,7 +263,7 @@
         while not self.closed:
             await asyncio.sleep(self._timing.heartbeat_ms / 1000)
             silent_ms = (time.monotonic() - self._last_received_s) * 1000
-            if silent_ms > self._timing.silence_ms:
+            if silent_ms > self._silence_ms:
                 LOG.warning(
                     "wire: closed channel with %s: silent for %d ms",
                     self.name,
@@ -273,6 +278,11 @@
                 self.send(frames.FrameKind.HEARTBEAT, 0)
             self._sent_since_heartbeat = False
 
+    @property
+    def _silence_ms(self) -> int:
+        factor = 1 if self._is_initiator else ACCEPTED_SILENCE_FACTOR
+        return self._timing.silence_ms * factor
+
     def _is_idle(self) -> bool:
         """Return whether this end opened the channel and no longer needs it.
 
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -287,6 +287,30 @@
     asyncio.run(scenario())
 
 
+def test_a_busy_peer_keeps_the_channel_that_it_opened():
+    """It sends nothing for longer than its own end would wait."""
+
+    async def scenario():
+        async with connected(handlers()) as (_, address):
+            reader, writer = await asyncio.open_connection(
+                address.address, address.peer_port
+            )
+            writer.write(
+                wire.pack(wire.FrameKind.HELLO, 0, wire.encode(hello("busy")))
+            )
+            await asyncio.sleep(TIMING.silence_ms * 2 / 1000)
+            received = await reader.read(1024)
+            assert received
+            assert not reader.at_eof()
+            # A peer that is gone is given up all the same.
+            async with asyncio.timeout(5):
+                while await reader.read(1024):
+                    pass
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_silent_connection_is_given_up_and_a_new_one_works():
     """A device on the path drops the data of an open connection."""
 
