--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -30,6 +30,8 @@
 WATCH_INTERVAL_MS_PER_HOST: ty.Final = 10
 # Interval at which the preferred control host is tried again.
 PREFERRED_RETRY_S: ty.Final = 5.0
+# A report that fails after a longer time than this is logged.
+SLOW_FAILURE_S: ty.Final = 0.2
 # Shortest interval between two reports to a control host that answers,
 # however many requests wait for its answer.
 ASKED_INTERVAL_S: ty.Final = 0.1
@@ -258,6 +260,7 @@
                 # control host would feed from the start.
                 return False
             self._record_disconnected(str(error))
+            self._log_if_slow(str(error), asked_s)
             self._address = self._next_address()
             return False
         if not reply.serving:
@@ -265,6 +268,7 @@
             self._record_disconnected(
                 f"{self._address} does not serve the state"
             )
+            self._log_if_slow("it does not serve the state", asked_s)
             self._address = self._hinted_address(reply)
             return False
         self._record_connected()
@@ -350,6 +354,17 @@
             )
         self._connected = False
 
+    def _log_if_slow(self, reason: str, asked_s: float) -> None:
+        """Log a failed report that cost time in which others could answer."""
+        duration_s = self._clock() - asked_s
+        if duration_s > SLOW_FAILURE_S:
+            LOG.info(
+                "entries: report to %s failed after %d ms: %s",
+                self._address.address,
+                duration_s * 1000,
+                reason,
+            )
+
     def _hinted_address(
         self, reply: wire.ttypes.WatchReply
     ) -> wire.PeerAddress:
--- a/src/goldcrestproxy/wire/channel.py
+++ b/src/goldcrestproxy/wire/channel.py
@@ -55,8 +55,8 @@
 class ChannelTiming:
     """Intervals and time-outs of a channel.
 
-    A channel closes after ``silence_ms`` without received bytes, at the end
-    that accepted it after ``ACCEPTED_SILENCE_FACTOR`` times that. Its initiator
+    A channel closes after ``silence_ms`` without received bytes; the end that
+    accepted it waits ``ACCEPTED_SILENCE_FACTOR`` times as long. Its initiator
     also closes it after ``idle_ms`` without calls or exchanges.
     """
 
