Decline passed requests of a host that is behind with a code of earlier builds

An entry host of an earlier build that passes a request on and gets it reads an unknown code as 5001, 'may have run': its caller would get 500 for a request that has not run, and no other host would be asked. Between hosts it is 2001 now, which earlier builds take for a host that takes nothing. The test failed before with 2008.

--- a/src/goldcrestproxy/entries/passed_requests.py
+++ b/src/goldcrestproxy/entries/passed_requests.py
@@ -198,5 +198,10 @@
 
 
 def _refuse(exchange: wire.Exchange, error: errors.RefusedError) -> None:
+    if error.code == results.STATE_BEHIND:
+        # Earlier builds take an unknown code for one that may have run.
+        error = results.refusal(
+            results.NO_CONFIGURATION, error.text, error.retry_after_ms
+        )
     exchange.set_response(relay_headers.refusal_head(error, map_index=0))
     exchange.response_body.finish()
--- a/tests/entries/test_passing.py
+++ b/tests/entries/test_passing.py
@@ -212,6 +212,26 @@
     asyncio.run(scenario())
 
 
+def test_a_host_that_is_behind_declines_with_a_code_of_earlier_builds():
+    """They take an unknown code for a request that may have run."""
+
+    class BehindDispatcher:
+        async def dispatch_passed(self, request, service):
+            raise results.refusal(results.STATE_BEHIND, "behind", 200)
+
+    async def scenario():
+        exchange = wire.Exchange(
+            passed_requests.encode(dispatching.REQUEST, "s", left_ms=400)
+        )
+        await entries.PassedRequests(BehindDispatcher(), callers.Gate()).serve(
+            exchange
+        )
+        return await exchange.response
+
+    head = asyncio.run(scenario())
+    assert (head.code, head.retry_after_ms) == (results.NO_CONFIGURATION, 200)
+
+
 def test_a_body_that_cannot_be_sent_again_goes_to_no_second_host():
     body = wire.Pipe()
     peers = FakePeers()
