--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -27,8 +27,7 @@
 # a slow link delays a message without failing it, and other messages on the
 # channel do not wait for all of it.
 PART_BYTES: ty.Final = 8 * 1024
-# Parts that are sent before the first of them is answered. Under load an
-# answer takes up to a second, in which a free link carries all of them.
+# Parts that are sent before the first of them is answered.
 PARTS_IN_FLIGHT_MAX: ty.Final = 16
 # A part may take this much longer for each byte that was sent before it.
 LINK_BYTES_PER_S_MIN: ty.Final = 16 * 1024
@@ -77,7 +76,7 @@
             last_index=payload.last_index,
             entries=payload.entries,
             snapshot=payload.snapshot,
-            binding_index=replica.state.registry.binding_index,
+            binding_index=replica.state.binding_index,
         )
 
     def _snapshot_payload(self) -> _Payload:
--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -142,7 +142,7 @@
             map_index=self._replica.state.map_index,
             limits=limits,
             entry_host_list=entry_hosts,
-            binding_index=self._replica.state.registry.binding_index,
+            binding_index=self._replica.state.binding_index,
             binding_age_ms=0 if leading else None,
         )
 
--- a/src/goldcrestproxy/control/state.py
+++ b/src/goldcrestproxy/control/state.py
@@ -58,6 +58,15 @@
     # Index of the entry that ended each session, oldest first.
     ended_sessions: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def binding_index(self) -> int:
+        """Index of the last change that binds all hosts within a time.
+
+        A snapshot of an earlier build does not name it; then any entry may
+        have been one.
+        """
+        return self.registry.binding_index or self.map_index
+
     def encode(self, *, with_claims: bool = True) -> bytes:
         """Return an encoded snapshot.
 
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -68,9 +68,7 @@
             map_index=max(self._map_index, state.map_index),
             limits=self._limits,
             entry_host_list=self._directory.neighbours(request),
-            binding_index=max(
-                self._binding_index, state.registry.binding_index
-            ),
+            binding_index=max(self._binding_index, state.binding_index),
             binding_age_ms=self._binding_age_ms(),
         )
 
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import json
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from goldcrestproxy import control
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import outcomes
+from goldcrestproxy import registry
 from goldcrestproxy import results
 
 PARTITIONS = 4
@@ -343,3 +346,14 @@
     state.apply(9, commands.JoinKeys(desk="desk", key_hashes=(5,)))
     assert desk.slot_of(5) == hot
     assert desk.slot(parent).owner == "t0"
+
+
+def test_a_snapshot_of_an_earlier_build_does_not_hide_its_last_change():
+    state = control.ControlState()
+    state.apply(1, registry.SetZone(zone="zone-a", out=True))
+    state.apply(2, commands.Noop())
+    assert state.binding_index == 1
+    snapshot = json.loads(state.encode())
+    del snapshot["registry"]["binding_index"]
+    restored = control.ControlState.decode(json.dumps(snapshot).encode())
+    assert restored.binding_index >= 1
