Let only feeds of the control host that was asked excuse its late answer

Messages of any control host counted, so a host that had turned to one that does not answer stayed with it as long as the one before went on feeding, up to ten seconds, and no control host confirmed its state. The test failed before: the host stayed.

--- a/src/goldcrestproxy/entries/state_copy.py
+++ b/src/goldcrestproxy/entries/state_copy.py
@@ -25,8 +25,9 @@
     def __init__(self) -> None:
         """Create a copy with an empty state and no listeners."""
         self.state = control.ControlState()
-        # Messages and parts received, from any control host.
-        self.feeds_received = 0
+        # Channels over which messages or parts arrived; ``StateWatcher``
+        # clears it before each report.
+        self.fed_over: set[wire.Channel] = set()
         # By channel, the start of a message whose other parts are to come.
         self._parts: dict[wire.Channel, bytearray] = {}
         self._listeners: list[ty.Callable[[], None]] = []
@@ -57,7 +58,7 @@
         :raises RefusedError: when preceding entries have not been applied,
             or preceding parts have not arrived
         """
-        self.feeds_received += 1
+        self.fed_over.add(channel)
         if request.offset_bytes is not None:
             message = self._add_part(channel, request)
             if request.more:
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -241,7 +241,7 @@
             takes_parts=True,
         )
         self.observations.flush_into(request)
-        feeds_received = self.feeds_received
+        self.fed_over.clear()
         asked_s = self._clock()
         try:
             reply = await self._peers.call(
@@ -252,9 +252,10 @@
             )
         except (errors.WireError, errors.RefusedError) as error:
             self.observations.restore_runs(request)
+            serving = self._peers.open_channel(self._address)
             if (
                 isinstance(error, errors.PeerTimeoutError)
-                and self.feeds_received > feeds_received
+                and serving in self.fed_over
             ):
                 # The answer waits behind the feed on a slow link. Another
                 # control host would feed from the start.
--- a/src/goldcrestproxy/wire/peers.py
+++ b/src/goldcrestproxy/wire/peers.py
@@ -133,6 +133,11 @@
         channel = await self.channel(address)
         channel.open(exchange)
 
+    def open_channel(self, address: PeerAddress) -> channels.Channel | None:
+        """Return the open channel to a peer, None without one."""
+        channel = self._channels.get(address)
+        return None if channel is None or channel.closed else channel
+
     async def wait_closed(self, address: PeerAddress) -> None:
         """Wait until the open channel to a peer has closed, if there is one.
 
--- a/tests/entries/test_state_watcher.py
+++ b/tests/entries/test_state_watcher.py
@@ -19,6 +19,10 @@
 )
 
 
+class FakeChannel:
+    closed = False
+
+
 class FakePeers:
     """Control hosts that answer ``reply`` or raise ``error``."""
 
@@ -28,17 +32,19 @@
         self.asked = []
         self.closed = []
         self.channel_closed = asyncio.Event()
-        self.on_call = lambda: None
+        self.serving = FakeChannel()
 
     async def call(self, address, method, request, _timeout_ms):
         assert method is wire.Method.WATCH
         assert request.takes_parts
         self.asked.append(address)
-        self.on_call()
         if self.error is not None:
             raise self.error
         return self.reply
 
+    def open_channel(self, _address):
+        return self.serving
+
     async def wait_closed(self, _address):
         await self.channel_closed.wait()
 
@@ -47,10 +53,6 @@
         return True
 
 
-class FakeChannel:
-    closed = False
-
-
 def reply(binding_index=0, binding_age_ms=0):
     return wire.ttypes.WatchReply(
         serving=True,
@@ -141,23 +143,46 @@
     asyncio.run(scenario())
 
 
+def time_out_while_fed(watcher, peers, channel):
+    """Let a report time out while a message arrives over a channel."""
+    peers.error = errors.PeerTimeoutError("slow")
+
+    async def report():
+        async def receive():
+            await watcher._handle_feed(channel, entries_to(1))
+
+        task = asyncio.create_task(receive())
+        call = peers.call
+
+        async def call_later(*arguments):
+            await task
+            return await call(*arguments)
+
+        peers.call = call_later
+        await watcher._watch()
+        peers.call = call
+
+    asyncio.run(report())
+
+
 def test_a_slow_answer_behind_a_feed_does_not_start_another_feed(
     watcher, peers
 ):
     asyncio.run(watcher._watch())
-    peers.error = errors.PeerTimeoutError("slow")
+    address = watcher._address
+    time_out_while_fed(watcher, peers, peers.serving)
+    assert watcher._address == address
+    asyncio.run(watcher._watch())
+    assert watcher._address != address
 
-    def receive():
-        watcher.feeds_received += 1
 
-    peers.on_call = receive
-    asyncio.run(watcher._watch())
-    peers.on_call = lambda: None
-    asyncio.run(watcher._watch())
+def test_a_feed_of_another_control_host_does_not_excuse_a_late_answer(
+    watcher, peers
+):
     asyncio.run(watcher._watch())
-    first, second, third, fourth = peers.asked
-    assert first == second == third
-    assert fourth != third
+    address = watcher._address
+    time_out_while_fed(watcher, peers, FakeChannel())
+    assert watcher._address != address
 
 
 def test_the_first_part_of_a_feed_tells_that_a_host_is_behind(watcher, peers):
