--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -131,7 +131,7 @@
             and self._clock() < wait_until_s
             and fleet.routes.match(request.host, request.path) is None
         ):
-            await fleet.wait_newer(wait_until_s - self._clock())
+            await fleet.ask_if_newest(wait_until_s - self._clock())
         return self.find_route(request)
 
     async def dispatch_passed(
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -172,12 +172,12 @@
         """Whether a control host answered this host's last report."""
         return self._watcher.connected
 
-    async def wait_newer(self, timeout_s: float) -> None:
+    async def ask_if_newest(self, timeout_s: float) -> None:
         """Ask a control host whether the state here is the newest one.
 
         Returns when there is an answer or a change, or after ``timeout_s``.
         """
-        await self._watcher.wait_newer(timeout_s)
+        await self._watcher.ask_if_newest(timeout_s)
 
     def describe_copy(self) -> dict[str, ty.Any]:
         """Return how recent the state here is, for log lines."""
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -172,7 +172,7 @@
         """Whether the routes here may still be used."""
         return self._copy_age.may_serve(self._clock())
 
-    async def wait_newer(self, timeout_s: float) -> None:
+    async def ask_if_newest(self, timeout_s: float) -> None:
         """Ask a control host at once whether the copy is the newest one.
 
         Returns when there is an answer or a change, at the latest after
@@ -296,7 +296,7 @@
         else:
             binding_index = reply.binding_index
             as_of_s = asked_s - reply.binding_age_ms / 1000
-        self._copy_age.record_report(
+        self._copy_age.record_answer(
             binding_index,
             as_of_s,
             applied_index=self.state.applied_index,
--- a/src/goldcrestproxy/routing/copy_age.py
+++ b/src/goldcrestproxy/routing/copy_age.py
@@ -1,9 +1,9 @@
 """Age of a host's copy of the state, and what it may decide on that copy.
 
-A change that operators or targets withdraw something with, or add routes
-with, binds every host within a time from its confirmation. A host learns from
-each answer of a control host which change was the last, and as of when. Until
-it has applied that change, it does not know what the change says.
+Changes of routes, services and zones, and targets that leave, bind every host
+within a time from their confirmation. A host learns from each answer of a
+control host which change was the last, and as of when. Until it has applied
+that change, it does not know what it says.
 
 - A refusal for a missing route is final for the caller. It needs a copy that
   was the newest one less than the bound ago.
@@ -29,12 +29,12 @@
 BEHIND_SHARE: ty.Final = 0.9
 # A feed may arrive this much later than the answer that announces it.
 FEED_GRACE_S: ty.Final = 0.3
-# Reports that are kept; more changes than that are followed less exactly.
-REPORTS_MAX: ty.Final = 64
+# Changes that are kept; more than that are followed less exactly.
+CHANGES_MAX: ty.Final = 64
 
 
 @attrs.frozen(kw_only=True)
-class _Report:
+class _Change:
     """The last binding change as of a time, and when the host was told."""
 
     binding_index: int
@@ -54,9 +54,9 @@
         self._unknown_route_s = in_force_ms / 1000 * UNKNOWN_ROUTE_SHARE
         self._behind_s = in_force_ms / 1000 * BEHIND_SHARE
         self._newest_as_of_s = -math.inf
-        # Reports of changes that are not applied yet, oldest first.
-        self._pending: collections.deque[_Report] = collections.deque(
-            maxlen=REPORTS_MAX
+        # Changes that are known and not applied yet, oldest first.
+        self._pending: collections.deque[_Change] = collections.deque(
+            maxlen=CHANGES_MAX
         )
 
     @property
@@ -68,7 +68,7 @@
         """Return the time since the copy is known to have been the newest."""
         return now_s - self._newest_as_of_s
 
-    def record_report(
+    def record_answer(
         self,
         binding_index: int,
         as_of_s: float,
@@ -82,18 +82,18 @@
         :param applied_index: index of the last entry that is applied here
         """
         self._pending.append(
-            _Report(binding_index=binding_index, as_of_s=as_of_s, told_s=now_s)
+            _Change(binding_index=binding_index, as_of_s=as_of_s, told_s=now_s)
         )
         self.record_applied(applied_index)
 
     def record_announced(self, binding_index: int, now_s: float) -> None:
         """Record a binding change that is on its way to this host."""
         known = any(
-            report.binding_index == binding_index for report in self._pending
+            change.binding_index == binding_index for change in self._pending
         )
         if not known:
             self._pending.append(
-                _Report(
+                _Change(
                     binding_index=binding_index,
                     as_of_s=-math.inf,
                     told_s=now_s,
@@ -103,13 +103,13 @@
     def record_applied(self, applied_index: int) -> None:
         """Record that all changes up to an index are applied."""
         reached = [
-            report
-            for report in self._pending
-            if report.binding_index <= applied_index
+            change
+            for change in self._pending
+            if change.binding_index <= applied_index
         ]
-        for report in reached:
-            self._pending.remove(report)
-            self._newest_as_of_s = max(self._newest_as_of_s, report.as_of_s)
+        for change in reached:
+            self._pending.remove(change)
+            self._newest_as_of_s = max(self._newest_as_of_s, change.as_of_s)
 
     def may_refuse_unknown(self, now_s: float) -> bool:
         """Whether a missing route says that no such route is in force."""
@@ -119,5 +119,5 @@
         """Whether requests may be served by the routes of the copy."""
         if not self._pending or self.age_s(now_s) < self._behind_s:
             return True
-        told_s = min(report.told_s for report in self._pending)
+        told_s = min(change.told_s for change in self._pending)
         return now_s - told_s < FEED_GRACE_S
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -130,7 +130,7 @@
     def describe_copy(self):
         return {}
 
-    async def wait_newer(self, _timeout_s):
+    async def ask_if_newest(self, _timeout_s):
         await asyncio.sleep(0)
         self.on_wait()
 
--- a/tests/entries/test_state_watcher.py
+++ b/tests/entries/test_state_watcher.py
@@ -136,7 +136,7 @@
         reports = len(peers.asked)
         # With 400 entry hosts the next report is due in 4 s.
         async with asyncio.timeout(1.0):
-            await watcher.wait_newer(3.0)
+            await watcher.ask_if_newest(3.0)
         assert len(peers.asked) == reports + 1
         running.cancel()
 
