--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -375,7 +375,7 @@
         self.targets = {
             name: self._track(record)
             for name, record in state.targets.items()
-            if record.usable
+            if self._is_tracked(record) or record.usable
         }
         self._by_service = {}
         for tracked in self.targets.values():
@@ -384,6 +384,10 @@
                     tracked
                 )
 
+    def _is_tracked(self, record: registry.RegisteredTarget) -> bool:
+        tracked = self.targets.get(record.target)
+        return tracked is not None and tracked.record is record
+
     def _track(self, record: registry.RegisteredTarget) -> TrackedTarget:
         now_s = self._clock()
         tracked = self.targets.get(record.target)
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -115,6 +115,36 @@
     assert fleet.owner("desk", 5).name == "b"
 
 
+def test_targets_are_checked_when_they_register_only(
+    fleet, watcher, monkeypatch
+):
+    """A check of all of them at each change costs hosts x targets."""
+    checked = []
+    usable = registry.RegisteredTarget.usable.fget
+
+    def count(record):
+        checked.append(record.target)
+        return usable(record)
+
+    monkeypatch.setattr(registry.RegisteredTarget, "usable", property(count))
+    watcher.apply(registry.SetZone(zone="zone-b", out=True))
+    assert checked == []
+    watcher.apply(
+        registry.RegisterTarget(
+            target="c",
+            incarnation=1,
+            service="desk",
+            zone="zone-a",
+            address="10.0.0.9:70000",
+            slots=4,
+            leaving=False,
+            cold_ms=0,
+        )
+    )
+    assert checked == ["c"]
+    assert set(fleet.targets) == {"a", "b"}
+
+
 def test_misdirected_block_is_used_again_if_its_owner_stays(fleet, clock):
     fleet.mark_misdirected("desk", 5)
     clock.now_s += fleet_map.MISDIRECTED_S + 0.01
