Add review case 5: a crashing request that is never stopped

Cause: an answer to any request with the same fingerprint clears the crashes that were counted, and fingerprints leave out the caller. While other callers ask for the same path and key, the request of one caller crashes targets without end.

Change: a script with one such caller.

--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -45,16 +45,22 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     timeout_s: float = CALL_TIMEOUT_S,
+    source: str = "",
 ) -> tuple[int, dict[str, str], bytes]:
     """Send one request on a connection of its own; return the answer.
 
+    :param source: the caller's address, any one if empty
     :raises OSError: without a complete answer in time
     """
     host, _, port = address.rpartition(":")
     writer: asyncio.StreamWriter | None = None
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(
+                host,
+                int(port),
+                local_addr=(source, 0) if source else None,
+            )
             lines = [f"{method} {path} HTTP/1.1"]
             fields = {"Host": address, "Connection": "close"}
             fields.update(headers or {})
@@ -277,6 +283,7 @@
         else:
             self.runs.append((attempt, self._record.now_s()))
             self._record.write("run", server=self.name, id=attempt)
+            await self.begin(headers)
             await asyncio.sleep(work_s)
             status = "200 OK"
             more = f"Response-Signature: {self.name}.{attempt}\r\n"
@@ -291,6 +298,9 @@
         )
         await writer.drain()
 
+    async def begin(self, headers: dict[str, str]) -> None:
+        """Run a request; a server that crashes raises OSError here."""
+
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
