--- a/review/1/run.py
+++ b/review/1/run.py
@@ -16,9 +16,9 @@
 from common import system as systems  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SERVERS = 48
+SERVERS = 90
 # At most 0.22 of the servers at a time, the share of the site file's cuts.
-FROZEN_MAX = 10
+FROZEN_MAX = 19
 # Time from a server's last heartbeat until the first one after its freeze.
 SILENCE_S = (4.60, 4.72)
 CALM_S = (3.5, 5.0)
@@ -169,20 +169,5 @@
     return 1 if broken else 0
 
 
-def main() -> int:
-    """Run the case and end all its processes."""
-    record = stand_ins.Record(FOLDER / "record.txt")
-    system = systems.System(controls=5, entries=0, losses=2)
-    record.write("start", trouble=int(TROUBLE), folder=system.folder.name)
-    try:
-        return asyncio.run(play(system, record))
-    except systems.CannotRun as error:
-        record.write("cannot_run", why=repr(str(error)))
-        print(f"cannot run: {error}", file=sys.stderr)
-        return 2
-    finally:
-        system.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(systems.run_case(FOLDER, play, entries=0, trouble=TROUBLE))
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -119,20 +119,5 @@
     return 0 if read_back and not late else 1
 
 
-def main() -> int:
-    """Run the case and end all its processes."""
-    record = stand_ins.Record(FOLDER / "record.txt")
-    system = systems.System(controls=5, entries=0, losses=2)
-    record.write("start", trouble=int(TROUBLE), folder=system.folder.name)
-    try:
-        return asyncio.run(play(system, record))
-    except systems.CannotRun as error:
-        record.write("cannot_run", why=repr(str(error)))
-        print(f"cannot run: {error}", file=sys.stderr)
-        return 2
-    finally:
-        system.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(systems.run_case(FOLDER, play, entries=0, trouble=TROUBLE))
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -1,7 +1,8 @@
-"""Starts the project's daemons as the deploy file says, and ends them."""
+"""Runs a case on the project's daemons, started as the deploy file says."""
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import pathlib
@@ -10,14 +11,20 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
+import typing as ty
+
+from common import stand_ins
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 # ``heartbeat`` of the site that the claims name.
 HEARTBEAT_MS = 1500
 PASSED_VARIABLES = ("PATH", "HOME", "LANG")
+EXIT_CANNOT_RUN = 2
 
 
 class CannotRun(Exception):
@@ -193,6 +200,35 @@
         return settings
 
 
+def run_case(
+    folder: pathlib.Path,
+    play: ty.Callable[[System, stand_ins.Record], ty.Awaitable[int]],
+    *,
+    entries: int,
+    trouble: bool,
+) -> int:
+    """Run a case with five control hosts; return its exit code.
+
+    All processes are ended, also when the case fails or is terminated.
+    """
+    record = stand_ins.Record(folder / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_CANNOT_RUN))
+    system = System(controls=5, entries=entries, losses=2)
+    record.write("start", trouble=int(trouble), folder=system.folder.name)
+
+    async def run() -> int:
+        return await play(system, record)
+
+    try:
+        return asyncio.run(run())
+    except Exception as error:
+        traceback.print_exc()
+        record.write("cannot_run", why=repr(error))
+        return EXIT_CANNOT_RUN
+    finally:
+        system.close()
+
+
 def _free_ports(address: str, count: int) -> list[int]:
     ports: list[int] = []
     deadline_s = time.monotonic() + 5
