--- a/src/goldcrestproxy/control/feed.py
+++ b/src/goldcrestproxy/control/feed.py
@@ -10,10 +10,12 @@
 
 import attrs
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import codec
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import state as states
 from goldcrestproxy import errors
+from goldcrestproxy import registry
 from goldcrestproxy import storage
 from goldcrestproxy import wire
 
@@ -40,6 +42,7 @@
 _EXCLUDED_SUFFIXES: ty.Final = tuple(
     codec.kind_suffix(kind) for kind in states.CLAIM_COMMANDS
 )
+_ITEMS_SUFFIX: ty.Final = codec.kind_suffix(registry.ChangeItems)
 
 
 @attrs.frozen(kw_only=True)
@@ -98,9 +101,7 @@
             cached = _Payload(
                 after_index=0,
                 last_index=applied,
-                snapshot=zlib.compress(
-                    replica.state.encode(with_claims=False)
-                ),
+                snapshot=zlib.compress(replica.state.encode(for_daemons=True)),
             )
             self._snapshot = cached
         return cached
@@ -147,13 +148,22 @@
         self._replica = replica
         self._source = FeedSource(replica)
         self._feeds: dict[wire.Channel, asyncio.Task[None]] = {}
-        self._entry_channels: set[wire.Channel] = set()
+        # The build levels of the entry hosts that are fed.
+        self._entry_channels: dict[wire.Channel, int | None] = {}
 
     @property
     def entry_hosts(self) -> int:
         """Number of entry hosts that are fed here."""
         return sum(not channel.closed for channel in self._entry_channels)
 
+    def lowest_build_level(self) -> int:
+        """Return what the builds of all entry hosts fed here understand."""
+        return build_levels.lowest(
+            level
+            for channel, level in self._entry_channels.items()
+            if not channel.closed
+        )
+
     def feed(
         self,
         channel: wire.Channel,
@@ -161,20 +171,22 @@
         *,
         entry: bool,
         takes_parts: bool,
+        build_level: int | None = None,
     ) -> None:
         """Start to feed a daemon unless its channel is fed already.
 
         :param applied_index: last index that the daemon has applied
         :param entry: whether to count it as an entry host fed here
         :param takes_parts: whether it accepts long messages in parts
+        :param build_level: what its build understands, None if it is not said
         """
         if entry and channel not in self._entry_channels:
             self._entry_channels = {
-                existing
-                for existing in self._entry_channels
+                existing: level
+                for existing, level in self._entry_channels.items()
                 if not existing.closed
             }
-            self._entry_channels.add(channel)
+            self._entry_channels[channel] = build_level
         if channel in self._feeds:
             return
         task = asyncio.create_task(
@@ -326,5 +338,18 @@
 
 def _to_wire(entry: storage.LogEntry) -> wire.ttypes.Entry:
     return wire.ttypes.Entry(
-        index=entry.index, term=entry.term, command=entry.command
+        index=entry.index,
+        term=entry.term,
+        command=_without_keys(entry.command),
     )
+
+
+def _without_keys(command: bytes) -> bytes:
+    """Return an encoded command without the keys of customers."""
+    if not command.endswith(_ITEMS_SUFFIX):
+        return command
+    decoded = ty.cast(registry.ChangeItems, codec.decode(command))
+    changed = tuple(item.without_keys() for item in decoded.changed)
+    if changed == decoded.changed:
+        return command
+    return codec.encode(registry.ChangeItems(changed=changed))
--- a/src/goldcrestproxy/control/follower.py
+++ b/src/goldcrestproxy/control/follower.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import codec
 from goldcrestproxy.control import election as elections
 from goldcrestproxy.control import members as groups
@@ -198,5 +199,8 @@
         self, *, accepted: bool, last_index: int = 0
     ) -> wire.ttypes.AppendReply:
         return wire.ttypes.AppendReply(
-            term=self._replica.term, accepted=accepted, last_index=last_index
+            term=self._replica.term,
+            accepted=accepted,
+            last_index=last_index,
+            build_level=build_levels.OWN,
         )
--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -6,6 +6,7 @@
 import logging
 import typing as ty
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import entry_directory
@@ -62,13 +63,20 @@
             replica, replication
         )
         self.registrar = (
-            registrars.Registrar(replica, replication, registrar_settings)
+            registrars.Registrar(
+                replica,
+                replication,
+                registrar_settings,
+                build_level=self._lowest_build_level,
+            )
             if registrar_settings is not None
             else None
         )
         self._feeder = feeder
         # Entry hosts fed by each follower, and the time of its last report.
         self._relayed_watchers: dict[str, tuple[int, float]] = {}
+        # What their builds understand, as far as followers say.
+        self._relayed_levels: dict[str, int | None] = {}
         self._started_s = replica.clock()
         self._replication = replication
         self._lease_timing = leases.LeaseTerms(
@@ -121,12 +129,14 @@
                 request.relayed_watchers,
                 now_s,
             )
+            self._relayed_levels[request.host] = request.build_level
         elif leading:
             self._feeder.feed(
                 channel,
                 request.applied_index,
                 entry=bool(request.entry),
                 takes_parts=bool(request.takes_parts),
+                build_level=request.build_level,
             )
             self._directory.record(request)
             entry_hosts = self._directory.neighbours(request)
@@ -158,6 +168,36 @@
         hosts = self._entry_hosts(self._replica.clock())
         return self.registrar.permit(request, hosts)
 
+    def quota(
+        self, request: wire.ttypes.QuotaRequest
+    ) -> wire.ttypes.QuotaReply:
+        """Answer an entry host that asks for tokens of quotas.
+
+        :raises RefusedError: while another leader may decide
+        """
+        if self.registrar is None or not self._replication.has_leader_lease():
+            raise formation.no_leader_refusal(self._replica)
+        return self.registrar.quotas.serve(request)
+
+    def _lowest_build_level(self) -> int:
+        """Return what all control hosts and entry hosts in touch understand.
+
+        Followers without entry hosts say nothing of builds.
+        """
+        now_s = self._replica.clock()
+        relayed = [
+            self._relayed_levels.get(host)
+            for host, (watchers, reported_s) in self._relayed_watchers.items()
+            if watchers and now_s < reported_s + ENTRY_HOST_COUNT_WINDOW_S
+        ]
+        return build_levels.lowest(
+            [
+                *relayed,
+                self._feeder.lowest_build_level(),
+                self._replication.lowest_build_level(),
+            ]
+        )
+
     def _entry_hosts(self, now_s: float) -> int:
         """Return the number of entry hosts, 0 while it is unknown."""
         if now_s < self._started_s + ENTRY_HOST_COUNT_WINDOW_S:
--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -26,11 +26,13 @@
 
 import attrs
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import granted_ranges
 from goldcrestproxy.control import key_planner
 from goldcrestproxy.control import limit_reports
 from goldcrestproxy.control import outcomes
+from goldcrestproxy.control import quota_service
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import replication as replications
 from goldcrestproxy.control import target_locks
@@ -41,6 +43,7 @@
 from goldcrestproxy import results
 from goldcrestproxy.routing import key_placement
 from goldcrestproxy.routing import leases
+from goldcrestproxy.routing import quota_terms
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -75,6 +78,10 @@
     hold_ms: int
     # Maximum rate by which a target's clock may lag behind the leader's.
     drift_parts_per_million: int = 20_000
+    # By how much customers may exceed their quotas, and in which window.
+    quota_tolerance: quota_terms.QuotaTolerance = attrs.field(
+        factory=quota_terms.QuotaTolerance
+    )
 
 
 class Registrar:
@@ -86,11 +93,17 @@
         replication: replications.Replication,
         settings: RegistrarSettings,
         rng: random.Random | None = None,
+        build_level: ty.Callable[[], int] = lambda: build_levels.OWN,
     ) -> None:
         """Create the registrar of a replica that has just won an election.
 
         :param rng: chooses among free blocks; seeded in tests
+        :param build_level: what all hosts understand
         """
+        self._build_level = build_level
+        self.quotas = quota_service.QuotaService(
+            replica, settings.quota_tolerance
+        )
         self._replica = replica
         self._replication = replication
         self._settings = settings
@@ -163,6 +176,7 @@
                     self._check_leadership()
                     return await self._serve_goodbye(call)
             case registry.ChangeItemsCall(changed=changed):
+                self._check_understood(changed)
                 return await self._propose_change(
                     registry.ChangeItems(changed=changed)
                 )
@@ -200,6 +214,26 @@
     def _hold_end_s(self, received_s: float) -> float:
         return self._hold_terms.grantor_expiry_s(received_s) + HOLD_MARGIN_S
 
+    def _check_understood(self, changed: tuple[registry.Item, ...]) -> None:
+        """Check that all hosts can read items of these kinds.
+
+        :raises RefusedError: for customers, while a host of an earlier build
+            is in the fleet
+        """
+        customers = any(
+            item.key.kind is registry.ItemKind.CUSTOMER for item in changed
+        )
+        if (
+            customers
+            and not self._registry.names_customers
+            and self._build_level() < build_levels.CUSTOMERS
+        ):
+            raise results.refusal(
+                results.STATE_BEHIND,
+                "a host in the fleet may not understand customers yet",
+                ORDER_RETRY_MS,
+            )
+
     async def _propose_change(
         self, command: commands.Command
     ) -> registry.Answer:
@@ -562,6 +596,7 @@
             *self._losses.due_commands(),
             *self._planner.initial_layouts(now_s),
             *self._planner.block_splits(),
+            *self.quotas.due_commands(),
         ]
         if due:
             await asyncio.gather(
--- a/src/goldcrestproxy/control/replication.py
+++ b/src/goldcrestproxy/control/replication.py
@@ -6,6 +6,7 @@
 import logging
 import typing as ty
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import commands
 from goldcrestproxy.control import members as groups
 from goldcrestproxy.control import replica as replicas
@@ -46,6 +47,7 @@
         self._durable_index = replica.log.last_index
         self._match_index: dict[str, int] = {}
         self._last_contact_s: dict[str, float] = {}
+        self._build_levels: dict[str, int | None] = {}
         self._started_s = replica.clock()
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._wake_events: dict[str, asyncio.Event] = {}
@@ -241,6 +243,14 @@
             error,
         )
 
+    def lowest_build_level(self) -> int:
+        """Return what the builds of all members understand."""
+        return build_levels.lowest(
+            self._build_levels.get(member.replica)
+            for member in self._replica.members.members
+            if member.replica != self._replica.replica
+        )
+
     def entries_behind(self) -> dict[str, int]:
         """Return the number of entries that each other member lacks."""
         last_index = self._replica.log.last_index
@@ -340,3 +350,4 @@
             self._replica.set_term(reply.term)
             raise errors.WireError(f"{member.host} replied with a newer term")
         self._last_contact_s[member.replica] = sent_s
+        self._build_levels[member.replica] = reply.build_level
--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -37,6 +37,8 @@
 # A replica that reads for a client waits this long for what the leader has.
 READ_TIMEOUT_MS: ty.Final = 600
 PERMIT_TIMEOUT_MS: ty.Final = 200
+# The host that asks heeds the answer for a little longer than this.
+QUOTA_TIMEOUT_MS: ty.Final = 250
 
 
 class ControlService:
@@ -95,6 +97,7 @@
                 wire.Method.FORWARD: self._forward,
                 wire.Method.JOIN: self._join,
                 wire.Method.PERMIT: self._permit,
+                wire.Method.QUOTA: self._quota,
             }
         )
 
@@ -281,6 +284,22 @@
         except errors.WireError as error:
             raise formation.no_leader_refusal(self.replica) from error
 
+    async def _quota(
+        self, _: wire.Channel, request: wire.ttypes.QuotaRequest
+    ) -> wire.ttypes.QuotaReply:
+        if self._leadership is not None:
+            return self._leadership.quota(request)
+        leader = formation.leader_address(self.replica)
+        if leader is None or request.forwarded:
+            raise formation.no_leader_refusal(self.replica)
+        request.forwarded = True
+        try:
+            return await self.replica.peers.call(
+                leader, wire.Method.QUOTA, request, QUOTA_TIMEOUT_MS
+            )
+        except errors.WireError as error:
+            raise formation.no_leader_refusal(self.replica) from error
+
     async def _join(
         self, _: wire.Channel, request: wire.ttypes.JoinRequest
     ) -> wire.ttypes.JoinReply:
--- a/src/goldcrestproxy/control/state.py
+++ b/src/goldcrestproxy/control/state.py
@@ -67,16 +67,18 @@
         """
         return self.registry.binding_index or self.map_index
 
-    def encode(self, *, with_claims: bool = True) -> bytes:
+    def encode(self, *, for_daemons: bool = False) -> bytes:
         """Return an encoded snapshot.
 
-        :param with_claims: False for snapshots sent to daemons
+        :param for_daemons: leave out claims and the keys of customers
         """
-        snapshot = (
-            self
-            if with_claims
-            else attrs.evolve(self, claims=claims.ClaimState())
-        )
+        snapshot = self
+        if for_daemons:
+            snapshot = attrs.evolve(
+                self,
+                claims=claims.ClaimState(),
+                registry=self.registry.without_keys(),
+            )
         return json.dumps(
             _CONVERTER.unstructure(snapshot), separators=(",", ":")
         ).encode()
@@ -145,6 +147,7 @@
                 | registry.FreeBlocks()
                 | registry.GiveBlocks()
                 | registry.SplitBlocks()
+                | registry.SetQuotaHosts()
             ):
                 return self._change_registry(index, command)
 
--- a/src/goldcrestproxy/control/watch_relay.py
+++ b/src/goldcrestproxy/control/watch_relay.py
@@ -7,6 +7,7 @@
 import math
 import typing as ty
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import entry_directory
 from goldcrestproxy.control import feed
 from goldcrestproxy.control import formation
@@ -56,6 +57,7 @@
             request.applied_index,
             entry=bool(request.entry),
             takes_parts=bool(request.takes_parts),
+            build_level=request.build_level,
         )
         self._observations.merge(request)
         self._directory.record(request)
@@ -105,6 +107,9 @@
             entry=False,
             relayed_watchers=self._feeder.entry_hosts,
             entry_host_list=self._directory.fed(),
+            build_level=min(
+                build_levels.OWN, self._feeder.lowest_build_level()
+            ),
         )
         self._observations.flush_into(request)
         asked_s = self._replica.clock()
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -17,6 +17,7 @@
 from goldcrestproxy import entries
 from goldcrestproxy import platform
 from goldcrestproxy.routing import fleet_retries
+from goldcrestproxy.routing import quota_terms
 from goldcrestproxy.routing import target_contact
 from goldcrestproxy import settings
 from goldcrestproxy import storage
@@ -56,6 +57,7 @@
     link: entries.StateWatcher
     gate: callers.Gate
     dispatcher: entries.Dispatcher
+    quotas: entries.CustomerQuotas
     prober: entries.TargetProber
 
 
@@ -193,6 +195,11 @@
         registrar_settings=control.RegistrarSettings(
             heartbeat_ms=fleet_settings.heartbeat_ms,
             hold_ms=fleet_settings.effective_hold_ms,
+            quota_tolerance=quota_terms.QuotaTolerance(
+                window_s=fleet_settings.quota_window_s,
+                overshoot_ratio=fleet_settings.quota_overshoot_ratio,
+                slack_requests=fleet_settings.quota_slack_requests,
+            ),
         ),
         losses_tolerated=fleet_settings.losses_tolerated,
     )
@@ -272,6 +279,7 @@
     )
     refusals = entries.DispatchRefusals(rng)
     suspects = entries.Suspects(fleet, refusals, clock)
+    quotas = entries.CustomerQuotas(fleet, refusals, metrics, clock)
     dispatcher = entries.Dispatcher(
         fleet,
         entries.Sender(
@@ -299,6 +307,7 @@
             slack=fleet_settings.resend_slack * RETRY_SLACK_FACTOR,
             window_s=fleet_settings.resend_window_s,
         ),
+        quotas,
         metrics,
         clock,
     )
@@ -323,6 +332,7 @@
         link=link,
         gate=gate,
         dispatcher=dispatcher,
+        quotas=quotas,
         prober=entries.TargetProber(fleet, contact, request_passing, rng),
     )
     return components, (
--- a/src/goldcrestproxy/daemon/fleet_running.py
+++ b/src/goldcrestproxy/daemon/fleet_running.py
@@ -82,6 +82,7 @@
     if daemon.entry is not None:
         tasks.append(asyncio.create_task(daemon.entry.link.run()))
         tasks.append(asyncio.create_task(daemon.entry.prober.run()))
+        tasks.append(asyncio.create_task(daemon.entry.quotas.run()))
     if daemon.control_service is not None:
         tasks.append(asyncio.create_task(daemon.control_service.run()))
     LOG.info(
--- a/src/goldcrestproxy/entries/__init__.py
+++ b/src/goldcrestproxy/entries/__init__.py
@@ -9,6 +9,7 @@
 from goldcrestproxy.entries.claims import Claimer
 from goldcrestproxy.entries.control_link import ControlLink
 from goldcrestproxy.entries.coordinator import Coordinator
+from goldcrestproxy.entries.customer_quotas import CustomerQuotas
 from goldcrestproxy.entries.dispatch_refusals import DispatchRefusals
 from goldcrestproxy.entries.dispatcher import Dispatcher
 from goldcrestproxy.entries.fleet_map import FleetMap
@@ -32,6 +33,7 @@
     "Claimer",
     "ControlLink",
     "Coordinator",
+    "CustomerQuotas",
     "DispatchRefusals",
     "Dispatcher",
     "FleetAnswer",
--- a/src/goldcrestproxy/entries/dispatch_refusals.py
+++ b/src/goldcrestproxy/entries/dispatch_refusals.py
@@ -39,15 +39,21 @@
         """
         if state.may_have_run:
             return self.final(state)
+        return self.spread(code, text, retry_after_ms)
+
+    def spread(
+        self, code: int, text: str, retry_after_ms: int
+    ) -> errors.RefusedError:
+        """Return the refusal of a request that was not sent.
+
+        Retry-After is spread at random.
+        """
         spread = 1 + RETRY_SPREAD * self._rng.random()
         return results.refusal(code, text, int(retry_after_ms * spread))
 
     def behind(self, text: str) -> errors.RefusedError:
         """Return the refusal of a request for which the state is too old."""
-        spread = 1 + RETRY_SPREAD * self._rng.random()
-        return results.refusal(
-            results.STATE_BEHIND, text, int(BEHIND_RETRY_AFTER_MS * spread)
-        )
+        return self.spread(results.STATE_BEHIND, text, BEHIND_RETRY_AFTER_MS)
 
     def final(
         self, state: dispatch_state.DispatchState
--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -32,6 +32,8 @@
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
     # Whether an attempt was sent whose outcome is not known yet.
     awaiting_answer: bool = False
+    # Whether it is counted in its customer's quota.
+    counted: bool = False
     # The last answer of a target that reports a failure.
     answer: fleet_request.FleetAnswer | None = None
 
@@ -40,6 +42,11 @@
         """The route that matched the request."""
         return self.named_route.route
 
+    @property
+    def customer(self) -> str:
+        """The customer that sent the request, empty without one."""
+        return self.request.customer or ""
+
     @property
     def fingerprint(self) -> str:
         """The fingerprint of the request with the body as read so far."""
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -6,6 +6,7 @@
 import math
 import typing as ty
 
+from goldcrestproxy.entries import customer_quotas
 from goldcrestproxy.entries import dispatch_refusals
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_map
@@ -18,6 +19,7 @@
 from goldcrestproxy.entries import target_selection
 from goldcrestproxy import errors
 from goldcrestproxy import results
+from goldcrestproxy.routing import customers
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy.routing import route_table
 from goldcrestproxy import telemetry
@@ -34,6 +36,7 @@
 STOPPING_RETRY_AFTER_MS: ty.Final = 100
 # For requests without a deadline header.
 DEADLINE_MS_DEFAULT: ty.Final = 30_000
+_ANSWERED: ty.Final = str(results.ANSWERED)
 
 
 class Dispatcher:
@@ -51,6 +54,7 @@
         request_suspects: suspects.Suspects,
         refusals: dispatch_refusals.DispatchRefusals,
         budgets: fleet_retries.ServiceRetryBudgets,
+        quotas: customer_quotas.CustomerQuotas,
         metrics: telemetry.Metrics,
         clock: ty.Callable[[], float],
     ) -> None:
@@ -66,6 +70,7 @@
         self._suspects = request_suspects
         self._refusals = refusals
         self._budgets = budgets
+        self._quotas = quotas
         self._metrics = metrics
         self._clock = clock
         self._running = running_requests.RunningRequests()
@@ -129,11 +134,60 @@
             and fleet.connected
             and not fleet.may_refuse_unknown
             and self._clock() < wait_until_s
-            and fleet.routes.match(request.host, request.path) is None
+            and not self._is_known(request)
         ):
             await fleet.ask_if_newest(wait_until_s - self._clock())
         return self.find_route(request)
 
+    def _is_known(self, request: fleet_request.FleetRequest) -> bool:
+        """Whether the route and the customer of a request are known here."""
+        named_route = self._fleet.routes.match(request.host, request.path)
+        if named_route is None:
+            return False
+        match self._identity(request, named_route):
+            case customers.UnknownKey():
+                return False
+            case customers.Anonymous():
+                return request.credential is None
+            case _:
+                return True
+
+    def _identity(
+        self,
+        request: fleet_request.FleetRequest,
+        named_route: route_table.NamedRoute,
+    ) -> customers.Identity:
+        return self._fleet.customers.identify(
+            request.credential, public=named_route.route.public
+        )
+
+    def identify(
+        self,
+        request: fleet_request.FleetRequest,
+        named_route: route_table.NamedRoute,
+    ) -> str | None:
+        """Return the customer of a request; see ``FleetRequest.customer``.
+
+        :raises RefusedError: if no customer holds its key; as not run while a
+            newer state may have one
+        """
+        match self._identity(request, named_route):
+            case customers.Anybody():
+                return None
+            case customers.Anonymous():
+                return ""
+            case customers.KnownCustomer(name=name):
+                return name
+            case customers.UnknownKey(missing=missing):
+                text = (
+                    "the request has no key of a customer"
+                    if missing
+                    else "no customer holds the key of the request"
+                )
+        if not self._fleet.may_refuse_unknown:
+            raise self._refusals.behind(f"{text} here, as far as is known")
+        raise results.refusal(results.UNKNOWN_CUSTOMER_KEY, text)
+
     async def dispatch_passed(
         self, request: fleet_request.FleetRequest, service: str
     ) -> fleet_request.FleetAnswer:
@@ -192,13 +246,15 @@
             )
             self._suspects.record_answer(state, answer)
             outcome = f"answered {answer.status}"
-            code = str(results.ANSWERED)
+            code = _ANSWERED
             return answer
         except errors.RefusedError as error:
             outcome = f"refused {error.code}: {error.text}"
             code = str(error.code)
             raise
         finally:
+            if state.counted and not (state.may_have_run or code == _ANSWERED):
+                self._quotas.give_back(state.customer)
             self._log(state, outcome, started_s)
             self._metrics.requests.add(1, {"code": code})
             self._metrics.duration.record((self._clock() - started_s) * 1000)
@@ -206,6 +262,9 @@
     async def _send_with_retries(
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer:
+        if state.customer and not state.request.passed_on:
+            await self._quotas.take(state.customer, state.deadline_s)
+            state.counted = True
         while True:
             try:
                 await self._suspects.refuse_quarantined(state)
@@ -299,7 +358,10 @@
             attempts=len(state.sent_to),
             attempts_max=state.route.attempts_max,
             time_left_s=state.deadline_s - self._clock(),
-            take_budget=lambda: self._take_budget(state.service),
+            take_budget=lambda: (
+                self._take_budget(state.service)
+                and self._take_quota(state, failure)
+            ),
         )
 
     async def _send(
@@ -358,6 +420,20 @@
             case _:
                 pass
 
+    def _take_quota(
+        self,
+        state: dispatch_state.DispatchState,
+        failure: fleet_retries.Failure,
+    ) -> bool:
+        """Count a further attempt, unless the last one has not run."""
+        match failure:
+            case fleet_retries.NotRun():
+                return True
+            case _ if not state.customer:
+                return True
+            case _:
+                return self._quotas.take_further(state.customer)
+
     def _take_budget(self, service: str) -> bool:
         return self._budgets.of(service).take(
             self._clock(), self._fleet.entry_hosts
@@ -377,6 +453,7 @@
             route_version=state.named_route.version,
             service=state.service,
             key=state.request.key,
+            customer=state.request.customer,
             sent_to=state.sent_to,
             asked_hosts=state.asked_hosts,
             passed_on=state.request.passed_on,
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -15,6 +15,7 @@
 from goldcrestproxy import errors
 from goldcrestproxy import registry
 from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import customers
 from goldcrestproxy.routing import leaving
 from goldcrestproxy.routing import request_limits
 from goldcrestproxy.routing import rest_time
@@ -119,6 +120,7 @@
         self.routes = route_table.RouteTable(())
         self.targets: dict[str, TrackedTarget] = {}
         self.services: dict[str, registry.Service] = {}
+        self.customers = customers.CustomerTable(())
         self._by_service: dict[str, list[TrackedTarget]] = {}
         # Until when blocks are treated as moving to another owner.
         self._misdirected_until_s: dict[Ownership, float] = {}
@@ -215,6 +217,12 @@
             limit.record_denial(retry_after_ms, self._clock())
         return not retry_after_ms
 
+    async def ask_quota(
+        self, request: wire.ttypes.QuotaRequest, timeout_s: float
+    ) -> wire.ttypes.QuotaReply:
+        """Ask the leader for tokens; see ``StateWatcher.ask_quota``."""
+        return await self._watcher.ask_quota(request, timeout_s)
+
     def _permits_fail_for_ms(self) -> int:
         left_s = self._permits_fail_until_s - self._clock()
         return max(0, math.ceil(left_s * 1000))
@@ -364,6 +372,7 @@
             routes.reuse_schedules(self.routes)
             self.routes = routes
             self.services = state.services()
+            self.customers = customers.CustomerTable(state.items.values())
             self._items_revision = state.items_revision
             LOG.info(
                 "entries: items in force as of index %d, applied %d, "
--- a/src/goldcrestproxy/entries/fleet_request.py
+++ b/src/goldcrestproxy/entries/fleet_request.py
@@ -15,9 +15,13 @@
     """A caller's request.
 
     ``request_target`` is the path with the query, as in the request line.
-    ``key`` is None for a request without a key. ``body_bytes`` is -1 when
-    the length is unknown and 0 without a body. ``caller`` is the IP address
-    of the caller. ``passed_on`` requests come from another entry host.
+    ``key`` is the number by which a service is divided, None without one.
+    ``body_bytes`` is -1 when the length is unknown and 0 without a body.
+    ``caller`` is the IP address of the caller. ``passed_on`` requests come
+    from another entry host.
+    ``credential`` is the key of a customer. ``customer`` is None until the
+    caller is identified and where no customers are configured, and empty for
+    callers that are no customers.
     """
 
     request_id: str
@@ -31,6 +35,8 @@
     deadline_ms: int | None
     caller: str = ""
     passed_on: bool = False
+    credential: str | None = attrs.field(default=None, repr=False)
+    customer: str | None = None
 
     def fingerprint(self, body_digest: str) -> str:
         """Return a digest that is equal for repetitions of this request."""
--- a/src/goldcrestproxy/entries/passed_requests.py
+++ b/src/goldcrestproxy/entries/passed_requests.py
@@ -121,7 +121,7 @@
     """
     return wire.ttypes.RelayRequest(
         request_id=request.request_id,
-        customer="",
+        customer=request.customer or "",
         desk=service,
         method=request.method,
         path=request.request_target,
@@ -158,6 +158,7 @@
         deadline_ms=request.deadline_ms,
         caller=request.caller_address or "",
         passed_on=True,
+        customer=request.customer or None,
     )
 
 
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -11,6 +11,7 @@
 import attrs
 import xxhash
 
+from goldcrestproxy.control import build_levels
 from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.control import observations
 from goldcrestproxy.entries import state_copy
@@ -144,6 +145,33 @@
             ) from error
         return reply.retry_after_ms
 
+    async def ask_quota(
+        self, request: wire.ttypes.QuotaRequest, timeout_s: float
+    ) -> wire.ttypes.QuotaReply:
+        """Ask the leader for tokens of customers' quotas.
+
+        ``host`` and ``session`` are filled in here.
+
+        :raises WireError: without an answer in time
+        :raises RefusedError: without a leader
+        """
+        request.host = self._settings.host
+        request.session = self._settings.session
+        request.forwarded = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self._peers.call(
+                    self._address,
+                    wire.Method.QUOTA,
+                    request,
+                    int(timeout_s * 1000),
+                )
+        except TimeoutError as error:
+            raise errors.PeerTimeoutError(
+                f"{self._address} was not reached in {timeout_s:g} s"
+            ) from error
+        return ty.cast(wire.ttypes.QuotaReply, reply)
+
     @property
     def entry_hosts(self) -> int:
         """Number of entry hosts that share common limits."""
@@ -239,6 +267,7 @@
             peer_port=self._settings.peer_port,
             takes_requests=self.takes_requests(),
             takes_parts=True,
+            build_level=build_levels.OWN,
         )
         self.observations.flush_into(request)
         self.fed_over.clear()
--- a/src/goldcrestproxy/entries/target_selection.py
+++ b/src/goldcrestproxy/entries/target_selection.py
@@ -236,6 +236,14 @@
             int(max(dispatch_refusals.SHED_RETRY_AFTER_MS, wait_ms / 2)),
         )
 
+    def _is_urgent(self, state: dispatch_state.DispatchState) -> bool:
+        """Whether no request is more urgent, by customer and route."""
+        table = self._fleet.customers
+        urgency = table.urgency(state.customer, state.route)
+        return urgency <= table.most_urgent(
+            self._fleet.routes.most_urgent_rank
+        )
+
     def _refuse_if_too_late(
         self,
         state: dispatch_state.DispatchState,
@@ -251,7 +259,7 @@
             target.stats,
             left_ms,
             now_s,
-            urgent=state.route.rank <= self._fleet.routes.most_urgent_rank,
+            urgent=self._is_urgent(state),
         ):
             return
         wait_ms = target.stats.expected_wait_ms(now_s)
--- a/src/goldcrestproxy/platform/configuration.py
+++ b/src/goldcrestproxy/platform/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import typing as ty
 
 from goldcrestproxy.platform import decoding
@@ -11,8 +12,12 @@
 _KIND_BY_FIELD: ty.Final = {
     "routes": registry.ItemKind.ROUTE,
     "services": registry.ItemKind.SERVICE,
+    "customers": registry.ItemKind.CUSTOMER,
 }
 _LIMITS_FIELD: ty.Final = "limits"
+KEY_CHARACTERS_MAX: ty.Final = 1024
+# What a header can hold whole.
+KEY_PATTERN: ty.Final = re.compile(rf"[!-~]{{1,{KEY_CHARACTERS_MAX}}}")
 
 
 def decode_changes(data: bytes) -> registry.ChangeItemsCall:
@@ -32,6 +37,9 @@
     """Return items in the JSON form in which they were set."""
     encoded: dict[str, ty.Any] = {name: [] for name in _KIND_BY_FIELD}
     names = {kind: name for name, kind in _KIND_BY_FIELD.items()}
+    items = list(items)
+    if not any(i.key.kind is registry.ItemKind.CUSTOMER for i in items):
+        del encoded[names[registry.ItemKind.CUSTOMER]]
     for item in items:
         source = json.loads(item.source)
         if item.key.kind is registry.ItemKind.LIMITS:
@@ -69,7 +77,7 @@
 def _named_items(
     body: decoding.Body,
 ) -> ty.Iterator[tuple[registry.ItemKey, decoding.Body]]:
-    """Yield the key and the fields of each route and service."""
+    """Yield the key and the fields of each item with a name."""
     for name, kind in _KIND_BY_FIELD.items():
         for entry in decoding.as_list(body.get(name, []), name):
             fields = decoding.as_object(entry, name)
@@ -89,6 +97,11 @@
             return _decode_service(body)
         case registry.ItemKind.LIMITS:
             return _decode_limits(body)
+        case registry.ItemKind.CUSTOMER:
+            try:
+                return _decode_customer(body)
+            except decoding.DecodingError as error:
+                raise error.without_value() from None
 
 
 def _decode_route(body: decoding.Body) -> registry.Route:
@@ -108,6 +121,7 @@
         rank=int(decoding.number(body, "rank", 0)),
         attempts_max=decoding.integer(body, "attempts_max", 1, minimum=1),
         shares=_decode_shares(body),
+        public=decoding.boolean(body, "public", False),
     )
 
 
@@ -141,6 +155,31 @@
     )
 
 
+def _decode_customer(body: decoding.Body) -> registry.Customer:
+    rank = body.get("rank")
+    return registry.Customer(
+        key_digests=_decode_keys(body),
+        rank=None if rank is None else int(decoding.number(body, "rank", 0)),
+        requests_per_s=decoding.number(body, "requests_per_s", 0),
+        burst_requests=decoding.number(body, "burst_requests", 0),
+    )
+
+
+def _decode_keys(body: decoding.Body) -> tuple[str, ...]:
+    """Return the digests of a customer's keys.
+
+    :raises DecodingError: that says which key is invalid, not what it is
+    """
+    keys = decoding.as_list(body.get("api_keys", []), "api_keys")
+    for position, key in enumerate(keys):
+        if not isinstance(key, str) or not KEY_PATTERN.fullmatch(key):
+            raise decoding.DecodingError(
+                f"key {position} of api_keys is invalid; a text of 1 to "
+                f"{KEY_CHARACTERS_MAX} printable characters is expected"
+            )
+    return tuple(registry.key_digest(key) for key in keys)
+
+
 def _decode_limits(body: decoding.Body) -> registry.CallerLimits:
     return registry.CallerLimits(
         header_bytes_max=decoding.integer(body, "header_bytes_max", minimum=1),
--- a/src/goldcrestproxy/platform/conventions.py
+++ b/src/goldcrestproxy/platform/conventions.py
@@ -13,6 +13,9 @@
 REQUEST_ID: ty.Final = "Attempt-Id"
 DEADLINE_MS: ty.Final = "Deadline-Ms"
 KEY: ty.Final = "Shard-Key"
+# The key of a customer, from callers; the customer's name, to targets.
+CUSTOMER_KEY: ty.Final = "Credential"
+CUSTOMER: ty.Final = "Tenant"
 RETRY_AFTER: ty.Final = "Retry-After"
 EXPECTED_TARGET: ty.Final = "Target-Instance"
 NOT_RUN: ty.Final = "Not-Executed"
@@ -43,6 +46,9 @@
 _REPLACED_HEADERS: ty.Final = frozenset(
     {DEADLINE_MS.lower(), EXPECTED_TARGET.lower()}
 )
+_IDENTITY_HEADERS: ty.Final = frozenset(
+    {CUSTOMER_KEY.lower(), CUSTOMER.lower()}
+)
 # libcurl adds these headers unless the request sets them.
 _CURL_DEFAULT_HEADERS: ty.Final = ("Accept", "User-Agent")
 _LOAD_PATTERN: ty.Final = re.compile(
@@ -115,6 +121,28 @@
     )
 
 
+def identified_headers(
+    headers: ty.Sequence[tuple[str, str]], customer: str | None
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a request whose caller is identified.
+
+    The key is left out, and the customer is named whatever the caller sent.
+
+    :param customer: empty for callers that are no customers, None where no
+        customers are configured and nothing is changed
+    """
+    if customer is None:
+        return tuple(headers)
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _IDENTITY_HEADERS
+    ]
+    if customer:
+        kept.append((CUSTOMER, customer))
+    return tuple(kept)
+
+
 def read_number(value: str) -> float | None:
     """Return a number that is not negative, None if malformed."""
     match = _NUMBER_PATTERN.fullmatch(value)
--- a/src/goldcrestproxy/platform/decoding.py
+++ b/src/goldcrestproxy/platform/decoding.py
@@ -12,7 +12,16 @@
 
 
 class DecodingError(errors.GoldcrestProxyError):
-    """A request body does not conform to the platform's API."""
+    """A request body does not conform to the platform's API.
+
+    Texts have the form "FIELD is VALUE; EXPECTATION".
+    """
+
+    def without_value(self) -> DecodingError:
+        """Return the error without the value, which may be a secret."""
+        field = str(self).partition(" is ")[0]
+        expectation = str(self).rpartition("; ")[2]
+        return DecodingError(f"{field} is invalid; {expectation}")
 
 
 Body = dict[str, ty.Any]
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -5,6 +5,7 @@
 import logging
 import typing as ty
 
+import attrs
 from tornado import web
 
 from goldcrestproxy import callers
@@ -44,10 +45,17 @@
             self.enter_gate()
             request = self._build_request()
             route = await self._dispatcher.await_route(request)
+            customer = self._dispatcher.identify(request, route)
             self.check_connected()
         except errors.RefusedError as error:
             await self.refuse(error)
             return
+        request = attrs.evolve(
+            request,
+            headers=conventions.identified_headers(request.headers, customer),
+            credential=None,
+            customer=customer,
+        )
         self.start(self._dispatcher.dispatch(request, route))
 
     get = post = put = patch = callers.StreamingHandler.serve  # type: ignore
@@ -91,6 +99,7 @@
             body_bytes=body_bytes,
             deadline_ms=self._integer_header(conventions.DEADLINE_MS, 1 << 31),
             caller=self.request.remote_ip or "",
+            credential=headers.get(conventions.CUSTOMER_KEY),
         )
 
     def _integer_header(self, name: str, maximum: int) -> int | None:
--- a/src/goldcrestproxy/registry/__init__.py
+++ b/src/goldcrestproxy/registry/__init__.py
@@ -11,10 +11,13 @@
 from goldcrestproxy.registry.commands import LayOutKeys
 from goldcrestproxy.registry.commands import LoseTarget
 from goldcrestproxy.registry.commands import RegisterTarget
+from goldcrestproxy.registry.commands import SetQuotaHosts
 from goldcrestproxy.registry.commands import SetZone
 from goldcrestproxy.registry.commands import SplitBlocks
+from goldcrestproxy.registry.customer_keys import digest as key_digest
 from goldcrestproxy.registry.endpoints import is_endpoint
 from goldcrestproxy.registry.items import CallerLimits
+from goldcrestproxy.registry.items import Customer
 from goldcrestproxy.registry.items import Item
 from goldcrestproxy.registry.items import ItemKey
 from goldcrestproxy.registry.items import ItemKind
@@ -56,6 +59,7 @@
     "ChangeItems",
     "ChangeItemsCall",
     "Command",
+    "Customer",
     "Declined",
     "FreeBlocks",
     "FreedBlock",
@@ -82,8 +86,10 @@
     "RouteKind",
     "Service",
     "ServiceShare",
+    "SetQuotaHosts",
     "SetZone",
     "SetZoneCall",
     "SplitBlocks",
     "is_endpoint",
+    "key_digest",
 ]
--- a/src/goldcrestproxy/registry/commands.py
+++ b/src/goldcrestproxy/registry/commands.py
@@ -109,6 +109,13 @@
     cuts: tuple[BlockCut, ...]
 
 
+@attrs.frozen(kw_only=True)
+class SetQuotaHosts:
+    """Name the entry hosts that may hold shares of customers' quotas."""
+
+    hosts: tuple[str, ...]
+
+
 Command = (
     ChangeItems
     | SetZone
@@ -118,4 +125,5 @@
     | FreeBlocks
     | GiveBlocks
     | SplitBlocks
+    | SetQuotaHosts
 )
--- a/src/goldcrestproxy/registry/items.py
+++ b/src/goldcrestproxy/registry/items.py
@@ -41,6 +41,8 @@
     rank: int
     attempts_max: int
     shares: tuple[ServiceShare, ...]
+    # Public routes need no customer's key.
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -72,7 +74,22 @@
     idle_timeout_ms: int
 
 
-ItemValue = Route | Service | CallerLimits
+@attrs.frozen(kw_only=True)
+class Customer:
+    """A customer that may send requests, and how many.
+
+    The quota is ``requests_per_s`` and a burst of ``burst_requests`` over all
+    hosts together; a rate of 0 means that there is none.
+    """
+
+    key_digests: tuple[str, ...]
+    # Goes before the rank of routes; None leaves it to them.
+    rank: int | None = None
+    requests_per_s: float = 0.0
+    burst_requests: float = 0.0
+
+
+ItemValue = Route | Service | CallerLimits | Customer
 
 
 class ItemKind(enum.Enum):
@@ -81,6 +98,7 @@
     ROUTE = "route"
     SERVICE = "service"
     LIMITS = "limits"
+    CUSTOMER = "customer"
 
 
 @attrs.frozen(kw_only=True)
@@ -100,18 +118,25 @@
     """An item as sent by an operator; no value means that it was removed.
 
     ``source`` is the operator's original text, returned unchanged on reads.
+    It may hold keys of customers, so entry hosts do not get it.
     """
 
     key: ItemKey
     version: int
     value: ItemValue | None = None
-    source: str = ""
+    source: str = attrs.field(default="", repr=False)
 
     @property
     def removed(self) -> bool:
         """Whether the item was removed."""
         return self.value is None
 
+    def without_keys(self) -> Item:
+        """Return the item without text that may hold keys of customers."""
+        if self.key.kind is not ItemKind.CUSTOMER:
+            return self
+        return attrs.evolve(self, source="")
+
 
 def undefined_services(items: ty.Iterable[Item]) -> set[str]:
     """Return the services that routes refer to but no item defines."""
--- a/src/goldcrestproxy/registry/state.py
+++ b/src/goldcrestproxy/registry/state.py
@@ -81,6 +81,8 @@
     # Log index of the last change that binds all hosts within a time: of
     # items, of zones, or of targets that leave.
     binding_index: int = 0
+    # Entry hosts that may hold shares of customers' quotas.
+    quota_hosts: list[str] = attrs.field(factory=list)
 
     def apply(self, index: int, command: commands.Command) -> str:
         """Apply the command of the log entry ``index``.
@@ -106,6 +108,8 @@
                 space = self.keyspaces.get(command.service)
                 for cut in command.cuts if space is not None else ():
                     space.split(cut.first_key, cut.pieces)
+            case commands.SetQuotaHosts(hosts=hosts):
+                self.quota_hosts = list(hosts)
         return ""
 
     @property
@@ -121,6 +125,31 @@
             if isinstance(item.value, items.Service)
         }
 
+    def without_keys(self) -> RegistryState:
+        """Return the state without text that may hold customers' keys."""
+        return attrs.evolve(
+            self,
+            items={
+                name: item.without_keys() for name, item in self.items.items()
+            },
+        )
+
+    def customer(self, name: str) -> items.Customer | None:
+        """Return a customer in force, None if there is none of this name."""
+        key = items.ItemKey(kind=items.ItemKind.CUSTOMER, name=name)
+        item = self.items.get(key.text())
+        if item is None or not isinstance(item.value, items.Customer):
+            return None
+        return item.value
+
+    @property
+    def names_customers(self) -> bool:
+        """Whether any item is or was about a customer."""
+        return any(
+            item.key.kind is items.ItemKind.CUSTOMER
+            for item in self.items.values()
+        )
+
     def is_eligible(self, target: RegisteredTarget) -> bool:
         """Whether a target may get new requests."""
         return target.accepts_work and target.zone not in self.zones_out
--- a/src/goldcrestproxy/results.py
+++ b/src/goldcrestproxy/results.py
@@ -61,6 +61,7 @@
 BODY_INCOMPLETE = 1007
 BAD_DEADLINE = 1008
 IDEMPOTENCY_KEY_REUSED = 1009
+UNKNOWN_CUSTOMER_KEY = 1010
 NO_CONFIGURATION = 2001
 NO_TARGET = 2002
 KEY_MOVING = 2003
@@ -77,6 +78,7 @@
 STILL_RUNNING = 3007
 TARGET_OUT_OF_REACH = 3008
 HOST_ISOLATED = 3009
+OVER_QUOTA = 3010
 OUTCOME_UNKNOWN = 4001
 DEADLINE_UNKNOWN = 4002
 ANSWER_INCOMPLETE = 4003
@@ -170,6 +172,14 @@
         "The Idempotency-Key was used for a different request.",
         "Use a new Idempotency-Key for a new request.",
     ),
+    _row(
+        UNKNOWN_CUSTOMER_KEY,
+        "unknown-customer-key",
+        401,
+        _NOT_RUN,
+        "The request has no key, or one that no customer holds.",
+        "Send a key of the customer, or ask the operators for one.",
+    ),
     _row(
         NO_CONFIGURATION,
         "no-configuration",
@@ -298,6 +308,14 @@
         "The entry host that was asked reaches no target.",
         _RETRY_LATER,
     ),
+    _row(
+        OVER_QUOTA,
+        "over-quota",
+        429,
+        _NOT_RUN,
+        "The customer's quota is used up for the moment.",
+        _RETRY_LATER,
+    ),
     _row(
         OUTCOME_UNKNOWN,
         "outcome-unknown",
--- a/src/goldcrestproxy/settings/fleet.py
+++ b/src/goldcrestproxy/settings/fleet.py
@@ -104,6 +104,17 @@
     resend_window_s: float = attrs.field(
         default=10.0, validator=loading.in_range(0.1, 3_600)
     )
+    # Window in which quotas of customers are judged, and by how much and by
+    # how many requests all hosts together may exceed them in it.
+    quota_window_s: float = attrs.field(
+        default=5.0, validator=loading.in_range(0.1, 3_600)
+    )
+    quota_overshoot_ratio: float = attrs.field(
+        default=0.1, validator=loading.in_range(0, 10)
+    )
+    quota_slack_requests: float = attrs.field(
+        default=20.0, validator=loading.in_range(0, 1_000_000)
+    )
     # Time from SIGTERM until the process is killed from outside.
     stop_s: float = attrs.field(
         default=10.0, validator=loading.in_range(1, 3_600)
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -53,6 +53,11 @@
             "goldcrestproxy.beyond_limits",
             description="Requests refused for the limit that a target named.",
         )
+        self.quotas = meter.create_counter(
+            "goldcrestproxy.quotas",
+            description="Requests of customers with quotas, by what became "
+            "of them: token, share, refused, given back.",
+        )
         self.heartbeats = meter.create_counter(
             "goldcrestproxy.heartbeats",
             description="Heartbeats of targets, by how they were answered.",
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -100,6 +100,8 @@
   1: i64 term,
   2: bool accepted,
   3: i64 last_index,
+  /** What the follower's build understands. */
+  4: optional i32 build_level,
 }
 
 struct SnapshotRequest {
@@ -289,6 +291,8 @@
   17: optional list<TargetProcess> leaving,
   /** Whether the host accepts feeds in parts. */
   18: optional bool takes_parts,
+  /** What the host's build understands; the lowest of all that it feeds. */
+  19: optional i32 build_level,
 }
 
 struct WatchReply {
@@ -325,6 +329,52 @@
   1: i32 retry_after_ms,
 }
 
+/** What a host has left of a customer's quota, and what it wants. */
+struct QuotaAsk {
+  1: string customer,
+  /** Requests that wait at the host. */
+  2: i32 needed,
+  /** Tokens for later requests. */
+  3: i32 ahead,
+  4: i32 held,
+  5: i32 returned,
+  /** Part of the quota that the host may spend without the leader. */
+  6: double share,
+  7: double demand_per_s,
+}
+
+/** A host asks the leader for tokens of customers' quotas. */
+struct QuotaRequest {
+  1: string host,
+  2: string session,
+  3: list<QuotaAsk> asks,
+  /** Of the last answer that the host received. */
+  4: string granter,
+  5: i64 stamp_ms,
+  /** The host spends its shares now. */
+  6: bool spending,
+  /** The control host that was asked first is not the leader. */
+  7: bool forwarded,
+}
+
+struct QuotaGrant {
+  1: string customer,
+  2: i32 tokens,
+  3: double share,
+  /** 0 if there is a token for each request that waits. */
+  4: i32 retry_after_ms,
+}
+
+struct QuotaReply {
+  1: list<QuotaGrant> grants,
+  /** The leader and its term. */
+  2: string granter,
+  /** The leader's clock. */
+  3: i64 stamp_ms,
+  /** The leader knows that its answers reach the host. */
+  4: bool confirmed,
+}
+
 /** A call of a target or operator, passed on to the leader. */
 struct ForwardRequest {
   1: binary call,
--- a/src/goldcrestproxy/wire/methods.py
+++ b/src/goldcrestproxy/wire/methods.py
@@ -24,6 +24,7 @@
     FORWARD = 11
     JOIN = 12
     PERMIT = 13
+    QUOTA = 14
 
 
 class Signature(ty.NamedTuple):
@@ -47,4 +48,5 @@
     Method.FORWARD: Signature(ttypes.ForwardRequest, ttypes.ForwardReply),
     Method.JOIN: Signature(ttypes.JoinRequest, ttypes.JoinReply),
     Method.PERMIT: Signature(ttypes.PermitRequest, ttypes.PermitReply),
+    Method.QUOTA: Signature(ttypes.QuotaRequest, ttypes.QuotaReply),
 }
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import types
+import zlib
 
 import pytest
 
@@ -191,3 +192,30 @@
     with pytest.raises(errors.RefusedError):
         asyncio.run(copy._handle_feed(channel, second))
     assert copy.state.applied_index == 0
+
+
+def customer(version):
+    return registry.Item(
+        key=registry.ItemKey(kind=registry.ItemKind.CUSTOMER, name="town"),
+        version=version,
+        value=registry.Customer(key_digests=(registry.key_digest("secret"),)),
+        source='{"api_keys":["secret"]}',
+    )
+
+
+@pytest.mark.parametrize("behind", [3, feed.FEED_ENTRIES_MAX + 5])
+def test_entry_hosts_are_fed_no_keys_of_customers(replica, behind):
+    """As entries, and as a snapshot for a daemon that is far behind."""
+    for version in range(1, behind + 1):
+        command = registry.ChangeItems(changed=(customer(version),))
+        replica.log.entries.append(
+            storage.LogEntry(version, 1, codec.encode(command))
+        )
+        replica.state.apply(version, command)
+    request = feed.FeedSource(replica).next_request(0)
+    fed = zlib.decompress(request.entries or request.snapshot)
+    assert b"secret" not in fed
+    assert registry.key_digest("secret").encode() in fed
+    copy = state_copy.StateCopy()
+    asyncio.run(catch_up(copy, feed.FeedSource(replica), replica))
+    assert copy.state.registry.customer("town") == customer(1).value
--- a/tests/control/test_watch_relay.py
+++ b/tests/control/test_watch_relay.py
@@ -64,7 +64,11 @@
         state=control.ControlState(),
         clock=time.monotonic,
     )
-    feeder = types.SimpleNamespace(entry_hosts=2, feed=lambda *_, **__: None)
+    feeder = types.SimpleNamespace(
+        entry_hosts=2,
+        feed=lambda *_, **__: None,
+        lowest_build_level=lambda: 0,
+    )
     return watch_relay.WatchRelay(replica, feeder)
 
 
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -21,6 +21,7 @@
 from goldcrestproxy import registry
 from goldcrestproxy import results
 from goldcrestproxy.routing import cold_rate
+from goldcrestproxy.routing import customers
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy.routing import request_limits
 from goldcrestproxy.routing import route_table
@@ -84,6 +85,7 @@
 
     def __init__(self, kind):
         self.routes = route_table.RouteTable([route(kind)])
+        self.customers = customers.CustomerTable([])
         self.services = {
             "s": registry.Service(
                 health_path="/",
@@ -201,7 +203,27 @@
         return outcome
 
 
-def make_dispatcher(fleet, sender, request_passing=None, contact=None):
+class FakeQuotas:
+    """Lets a number of attempts through, and counts those given back."""
+
+    def __init__(self, tokens=0):
+        self.tokens = tokens
+
+    async def take(self, customer, _deadline_s):
+        if not self.take_further(customer):
+            raise results.refusal(results.OVER_QUOTA, customer, 300)
+
+    def take_further(self, _customer):
+        self.tokens -= 1
+        return self.tokens >= 0
+
+    def give_back(self, _customer):
+        self.tokens += 1
+
+
+def make_dispatcher(
+    fleet, sender, request_passing=None, contact=None, quotas=None
+):
     def clock():
         return 1.0
 
@@ -228,6 +250,7 @@
         fleet_retries.ServiceRetryBudgets(
             ratio=0.1, slack=10.0, window_s=10.0
         ),
+        quotas or FakeQuotas(),
         metrics,
         clock,
     )
@@ -787,3 +810,83 @@
     with pytest.raises(errors.RefusedError) as refused:
         await_route(fleet, REQUEST)
     assert refused.value.code == results.STATE_BEHIND
+
+
+CUSTOMER = registry.Item(
+    key=registry.ItemKey(kind=registry.ItemKind.CUSTOMER, name="town"),
+    version=1,
+    value=registry.Customer(key_digests=(registry.key_digest("key-1"),)),
+)
+
+
+def identify(credential, *, may_refuse_unknown):
+    fleet = FakeFleet(SAFE)
+    fleet.customers = customers.CustomerTable([CUSTOMER])
+    fleet.may_refuse_unknown = may_refuse_unknown
+    dispatcher = make_dispatcher(fleet, FakeSender(fleet, []))
+    request = attrs.evolve(REQUEST, credential=credential)
+    return dispatcher.identify(request, dispatcher.find_route(request))
+
+
+def test_a_known_key_names_its_customer():
+    assert identify("key-1", may_refuse_unknown=False) == "town"
+
+
+@pytest.mark.parametrize("credential", [None, "key-2"])
+def test_an_unknown_key_is_refused_for_good_by_the_newest_state_only(
+    credential,
+):
+    for newest, code in (
+        (True, results.UNKNOWN_CUSTOMER_KEY),
+        (False, results.STATE_BEHIND),
+    ):
+        with pytest.raises(errors.RefusedError) as caught:
+            identify(credential, may_refuse_unknown=newest)
+        assert caught.value.code == code
+        assert "key-2" not in caught.value.text
+
+
+def dispatch_counted(outcomes, tokens, kind=SAFE, **changes):
+    """Dispatch a customer's request; return its result and what is left."""
+    fleet = FakeFleet(kind)
+    sender = FakeSender(fleet, outcomes)
+    quotas = FakeQuotas(tokens)
+    dispatcher = make_dispatcher(fleet, sender, quotas=quotas)
+    request = attrs.evolve(REQUEST, customer="town", **changes)
+    try:
+        result = asyncio.run(
+            dispatcher.dispatch(request, dispatcher.find_route(request))
+        )
+    except errors.RefusedError as error:
+        result = error.code
+    return result, sender.sent, quotas.tokens
+
+
+def test_a_request_beyond_the_quota_is_not_sent():
+    result, sent, _ = dispatch_counted([], tokens=0)
+    assert (result, sent) == (results.OVER_QUOTA, 0)
+
+
+def test_each_run_counts_once_and_what_has_not_run_does_not():
+    refused = fleet_retries.NotRun(text="no", misdirected=True, refused=True)
+    cut = fleet_retries.MaybeRun(text="cut")
+    for outcomes, kind, left in (
+        ([ANSWER], SAFE, 4),
+        ([failed(refused), ANSWER], SAFE, 4),
+        ([failed(refused), failed(refused)], SAFE, 5),
+        ([failed(cut), ANSWER], SAFE, 3),
+        ([failed(cut)], UNSAFE, 4),
+    ):
+        _, _, tokens = dispatch_counted(outcomes, tokens=5, kind=kind)
+        assert tokens == left, outcomes
+
+
+def test_a_repetition_that_the_quota_does_not_cover_is_not_sent():
+    cut = failed(fleet_retries.MaybeRun(text="cut"))
+    result, sent, _ = dispatch_counted([cut, ANSWER], tokens=1)
+    assert (result, sent) == (results.OUTCOME_UNKNOWN, 1)
+
+
+def test_a_request_that_was_passed_on_counts_at_the_first_host_only():
+    _, sent, tokens = dispatch_counted([ANSWER], tokens=5, passed_on=True)
+    assert (sent, tokens) == (1, 5)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -237,6 +237,16 @@
     def runs(self, request_id):
         return self._count_in_logs(f"RUN {request_id}")
 
+    def events(self, kind):
+        """Return what targets with ``--events`` printed of this kind."""
+        return [
+            event
+            for log in self.logs.values()
+            for line in log.read_text().splitlines()
+            if line.startswith("EVENT ")
+            and (event := json.loads(line[6:]))["kind"] == kind
+        ]
+
     def drops(self, request_id):
         return self._count_in_logs(f"DROPPED {request_id}")
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -282,3 +282,51 @@
 )
 def test_limits_of_targets_are_decimal_numbers(value, limit_per_s):
     assert conventions.read_number(value) == limit_per_s
+
+
+@pytest.mark.parametrize(
+    "customer, sent, received",
+    [
+        (None, [("Credential", "k"), ("Tenant", "t")], None),
+        ("", [("credential", "k"), ("TENANT", "t"), ("X", "y")], [("X", "y")]),
+        (
+            "town",
+            [("Tenant", "firm"), ("X", "y")],
+            [("X", "y"), ("Tenant", "town")],
+        ),
+    ],
+)
+def test_the_customer_is_named_whatever_the_caller_sent(
+    customer, sent, received
+):
+    headers = conventions.identified_headers(sent, customer)
+    assert list(headers) == (sent if received is None else received)
+
+
+def test_a_customer_is_decoded_and_read_back_with_its_keys():
+    sent = {
+        "name": "town",
+        "version": 3,
+        "api_keys": ["key-1", "key-2"],
+        "rank": 1,
+        "requests_per_s": 2.5,
+        "burst_requests": 9,
+    }
+    call = configuration.decode_changes(
+        json.dumps({"upsert": {"customers": [sent]}}).encode()
+    )
+    (item,) = call.changed
+    assert item.value == registry.Customer(
+        key_digests=tuple(map(registry.key_digest, sent["api_keys"])),
+        rank=1,
+        requests_per_s=2.5,
+        burst_requests=9.0,
+    )
+    assert configuration.encode_items(call.changed)["customers"] == [sent]
+    assert "key-1" not in repr(call)
+
+
+def test_a_configuration_without_customers_reads_back_without_them():
+    call = configuration.decode_changes(encode_json(CHANGES))
+    in_force = [item for item in call.changed if not item.removed]
+    assert "customers" not in configuration.encode_items(in_force)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -49,6 +49,9 @@
             raise self._outcome
         return "route"
 
+    def identify(self, request, route):
+        return None
+
     def describe_copy(self):
         return {}
 
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -195,7 +195,9 @@
             self.target.print_event("drop", id=request_id)
             await asyncio.Event().wait()
         print(f"RUN {request_id}", flush=True)
-        self.target.print_event("run", id=request_id, key=key)
+        self.target.print_event(
+            "run", id=request_id, key=key, headers=list(headers.get_all())
+        )
         if "crash" in self.request.path:
             os._exit(1)
         if "Endless" in headers:
