Free requests whose connections end while the body arrives

Memory of an entry host grew for good with each caller that left during its body: 3,070 handlers with their buffers stayed after a crowd of 12 s, and a host that had 62 MB before it kept 345 MB.

Tornado waits for the rest of the body until on_connection_close says that the connection is gone; both handlers replaced that method without calling it. They call it now. A body that waits for room to be forwarded watches its connection, too, which Tornado does only between two parts.

test_a_request_is_freed_when_its_connection_ends_during_the_body fails before.

--- a/src/goldcrestproxy/callers/handler.py
+++ b/src/goldcrestproxy/callers/handler.py
@@ -60,6 +60,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request if idempotent, since its caller disconnected."""
+        super().on_connection_close()
         error = results.refusal(
             results.BODY_INCOMPLETE, "the caller closed the connection"
         )
--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -126,6 +126,13 @@
             self._entered_gate = False
             self._gate.leave()
 
+    def on_connection_close(self) -> None:
+        """End the request, whose caller has disconnected.
+
+        Tornado waits for the rest of the body until it is told so.
+        """
+        super().on_connection_close()
+
     async def data_received(self, chunk: bytes) -> None:
         """Forward a chunk of the request body; wait if the pipe is full."""
         if self._delivery_task is None or self._delivery_task.done():
@@ -134,11 +141,14 @@
         body = ty.cast(wire.Pipe, self._request_body)
         if body.full and not body.ended:
             put_task = asyncio.create_task(body.put(chunk))
+            # Tornado does not look at the connection until this returns.
+            self._stream().set_close_callback(self.on_connection_close)
             # Nobody reads the body once the answer has been delivered.
             await asyncio.wait(
                 {put_task, self._delivery_task},
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            self._stream().set_close_callback(None)
             put_task.cancel()
             return
         body.feed(chunk)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import time
 import types
@@ -323,6 +324,45 @@
     play(scenario)
 
 
+def handlers_alive():
+    gc.collect()
+    kinds = [type(o) for o in gc.get_objects()]
+    return kinds.count(platform.IngressHandler)
+
+
+@pytest.mark.parametrize(
+    "sent, by_caller", [(0, True), (10, True), (LARGE_BYTES // 2, False)]
+)
+def test_a_request_is_freed_when_its_connection_ends_during_the_body(
+    sent, by_caller
+):
+    """Closed by the host also while it waits for room to forward a part."""
+
+    async def scenario():
+        dispatcher = FakeDispatcher(NOT_RUN)
+        dispatcher.ready.clear()
+        host = Host(dispatcher)
+        # Of earlier tests, whose event loops have ended.
+        others = handlers_alive()
+        async with host.running():
+            _, writer = await host.connect()
+            writer.write(head_of("POST", LARGE_BYTES) + bytes(sent))
+            await asyncio.sleep(0.2)
+            assert handlers_alive() == others + 1
+            if by_caller:
+                writer.transport.abort()
+            else:
+                for connection in list(host.server._connections):
+                    connection.stream.close()
+                del connection
+            await asyncio.wait_for(host.gate.wait_empty(), TIMEOUT_S)
+            dispatcher.request = None
+            await asyncio.sleep(0.2)
+            assert handlers_alive() == others
+
+    play(scenario)
+
+
 def test_a_stop_does_not_truncate_an_answer_to_a_slow_caller(monkeypatch):
     monkeypatch.setattr(fleet_running, "BALANCER_NOTICE_S", 0.05)
 
