Bound what all callers of a host hold by its memory and descriptors

Each caller had limits of its own; their sum followed from the number of descriptors.

How many connections and bodies a host bears follows from its memory and descriptors now (settings, or what the system names). Callers without progress make room; a new body for which there is none is refused as not run, without reading it.

--- a/src/goldcrestproxy/callers/__init__.py
+++ b/src/goldcrestproxy/callers/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from goldcrestproxy.callers.crowd import CHUNK_BYTES
+from goldcrestproxy.callers.crowd import Crowd
+from goldcrestproxy.callers.crowd import CrowdServer
 from goldcrestproxy.callers.departure import has_left
 from goldcrestproxy.callers.gate import Gate
 from goldcrestproxy.callers.handler import CallerHandler
@@ -9,7 +12,10 @@
 from goldcrestproxy.callers.streaming import StreamingHandler
 
 __all__ = [
+    "CHUNK_BYTES",
     "CallerHandler",
+    "Crowd",
+    "CrowdServer",
     "Gate",
     "StreamingHandler",
     "body_bytes",
--- /dev/null
+++ b/src/goldcrestproxy/callers/crowd.py
@@ -0,0 +1,289 @@
+"""Bounds on what all callers of a host together hold."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+import math
+import typing as ty
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+
+from goldcrestproxy import results
+from goldcrestproxy.routing import crowd_limits
+from goldcrestproxy import telemetry
+
+LOG = logging.getLogger(__name__)
+
+# Part of a body that is read at once. Each body holds several of them.
+CHUNK_BYTES: ty.Final = 16 * 1024
+RETRY_AFTER_MS: ty.Final = 1_000
+LOG_INTERVAL_S: ty.Final = 5.0
+LAG_INTERVAL_S: ty.Final = 0.1
+LOGGED_ADDRESSES: ty.Final = 3
+
+
+class Crowd:
+    """Connections of callers, the least active of which make room."""
+
+    def __init__(
+        self,
+        limits: crowd_limits.CrowdLimits,
+        metrics: telemetry.Metrics,
+        clock: ty.Callable[[], float],
+    ) -> None:
+        """Start without connections.
+
+        :param clock: monotonic time in seconds
+        """
+        self._limits = limits
+        self._metrics = metrics
+        self._clock = clock
+        # The connection with the longest time without progress is first.
+        self._callers: collections.OrderedDict[
+            iostream.IOStream, crowd_limits.CallerActivity
+        ] = collections.OrderedDict()
+        # Those of them that hold a body, the longest first.
+        self._bodies: dict[iostream.IOStream, crowd_limits.CallerActivity] = {}
+        self._unfinished_bodies = 0
+        self._crawlers_until_s = -math.inf
+        self._lag_timer: asyncio.TimerHandle | None = None
+        self._closed: collections.Counter[str] = collections.Counter()
+        self._logged_s = -LOG_INTERVAL_S
+
+    def open(self, stream: iostream.IOStream) -> None:
+        """Count a connection, or that it waits for its next request.
+
+        Beyond the limit, the least active connection is closed; if all are
+        active, the new one.
+        """
+        activity = self._callers.get(stream)
+        if activity is not None:
+            self._leave_request(stream, activity)
+            self._progress(stream, activity)
+            return
+        if len(self._callers) >= self._limits.connections_max and not (
+            self._make_room(self._callers)
+        ):
+            self._close(stream, "new connection")
+            return
+        self._callers[stream] = crowd_limits.CallerActivity(
+            progress_s=self._clock()
+        )
+
+    def close(self, stream: iostream.IOStream) -> None:
+        """Forget a connection that was closed."""
+        activity = self._callers.pop(stream, None)
+        if activity is not None:
+            self._leave_request(stream, activity)
+
+    def start_request(
+        self, stream: iostream.IOStream, *, has_body: bool
+    ) -> None:
+        """Count a request whose head was read.
+
+        :raises RefusedError: if there are too many bodies, and none of their
+            callers has been idle
+        """
+        activity = self._callers.get(stream)
+        if activity is None:
+            return
+        activity.requests += 1
+        activity.phase = crowd_limits.Phase.ANSWER
+        self._progress(stream, activity)
+        if not has_body:
+            return
+        if not self._has_room() and not self._make_room(self._bodies):
+            activity.phase = crowd_limits.Phase.DISCARDING
+            self._metrics.crowds.add(1, {"outcome": "refused"})
+            raise results.refusal(
+                results.OVERLOADED,
+                f"{len(self._bodies)} bodies are in flight, "
+                f"{self._unfinished_bodies} of them unfinished",
+                RETRY_AFTER_MS,
+            )
+        activity.phase = crowd_limits.Phase.BODY
+        activity.body_started_s = self._clock()
+        activity.body_bytes = 0
+        self._bodies[stream] = activity
+        self._unfinished_bodies += 1
+        self._watch_lag()
+
+    def record_progress(
+        self, stream: iostream.IOStream, body_bytes: int = 0
+    ) -> None:
+        """Record that a part of a body arrived or of an answer was read."""
+        activity = self._callers.get(stream)
+        if activity is not None:
+            activity.body_bytes += body_bytes
+            self._progress(stream, activity)
+
+    def end_body(self, stream: iostream.IOStream) -> None:
+        """Record that the whole request has arrived."""
+        activity = self._callers.get(stream)
+        if activity is not None:
+            self._end_body(activity)
+            self._progress(stream, activity)
+
+    def _has_room(self) -> bool:
+        return self._limits.has_room(
+            bodies=len(self._bodies),
+            unfinished_bodies=self._unfinished_bodies,
+            crawlers=self._clock() < self._crawlers_until_s,
+        )
+
+    def _watch_lag(self) -> None:
+        """Look for bodies that crawl while many arrive."""
+        if self._lag_timer is not None:
+            return
+        if self._unfinished_bodies < crowd_limits.UNFINISHED_BODIES_BEHIND_MAX:
+            return
+        due_s = self._clock() + LAG_INTERVAL_S
+        self._lag_timer = asyncio.get_running_loop().call_later(
+            LAG_INTERVAL_S, self._measure_lag, due_s
+        )
+
+    def _measure_lag(self, due_s: float) -> None:
+        self._lag_timer = None
+        now_s = self._clock()
+        if now_s >= due_s + crowd_limits.LAG_S:
+            crawling = [
+                stream
+                for stream, activity in self._bodies.items()
+                if activity.crawls(now_s)
+            ]
+            for stream in crawling:
+                self._close(stream, "crawling body")
+            if crawling:
+                self._crawlers_until_s = now_s + crowd_limits.CRAWLERS_S
+        self._watch_lag()
+
+    def _progress(
+        self, stream: iostream.IOStream, activity: crowd_limits.CallerActivity
+    ) -> None:
+        activity.progress_s = self._clock()
+        self._callers.move_to_end(stream)
+
+    def _end_body(self, activity: crowd_limits.CallerActivity) -> None:
+        if activity.phase is crowd_limits.Phase.BODY:
+            self._unfinished_bodies -= 1
+            activity.phase = crowd_limits.Phase.ANSWER
+
+    def _leave_request(
+        self, stream: iostream.IOStream, activity: crowd_limits.CallerActivity
+    ) -> None:
+        self._end_body(activity)
+        self._bodies.pop(stream, None)
+        activity.phase = crowd_limits.Phase.WAITING
+
+    def _make_room(
+        self,
+        callers: ty.Mapping[iostream.IOStream, crowd_limits.CallerActivity],
+    ) -> bool:
+        """Close one of these connections; return whether one may be closed."""
+        now_s = self._clock()
+        chosen: iostream.IOStream | None = None
+        rank = len(crowd_limits.Phase)
+        for stream, activity in callers.items():
+            if activity.rank < rank and activity.may_be_closed(
+                now_s, unread=stream.writing()
+            ):
+                chosen, rank = stream, activity.rank
+            if rank == 0:
+                break
+        if chosen is None:
+            return False
+        if self._callers[chosen].crawls(now_s):
+            self._crawlers_until_s = now_s + crowd_limits.CRAWLERS_S
+        self._close(chosen, self._callers[chosen].phase.value)
+        return True
+
+    def _close(self, stream: iostream.IOStream, phase: str) -> None:
+        self._metrics.crowds.add(1, {"outcome": f"closed, {phase}"})
+        address = _address_of(stream)
+        self.close(stream)
+        stream.close()
+        self._log(address, phase)
+
+    def _log(self, address: str, phase: str) -> None:
+        self._closed[address] += 1
+        now_s = self._clock()
+        if now_s < self._logged_s + LOG_INTERVAL_S:
+            return
+        self._logged_s = now_s
+        LOG.warning(
+            "callers: closed %d connections to make room, last: %s; %d are "
+            "open, %d bodies, %d of them unfinished; most from %s",
+            self._closed.total(),
+            phase,
+            len(self._callers),
+            len(self._bodies),
+            self._unfinished_bodies,
+            ", ".join(
+                f"{address} ({count})"
+                for address, count in self._closed.most_common(
+                    LOGGED_ADDRESSES
+                )
+            ),
+        )
+        self._closed.clear()
+
+
+class CrowdServer(httpserver.HTTPServer):
+    """HTTP server whose connections are bounded by a ``Crowd``."""
+
+    crowd: Crowd
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Watch the next request of a connection."""
+        delegate = super().start_request(server_conn, request_conn)
+        stream = ty.cast(ty.Any, server_conn).stream
+        self.crowd.open(stream)
+        return _WatchedDelegate(delegate, self.crowd, stream)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        self.crowd.close(ty.cast(ty.Any, server_conn).stream)
+        super().on_close(server_conn)
+
+
+class _WatchedDelegate(httputil.HTTPMessageDelegate):
+    """Tells a crowd of the progress of a request."""
+
+    def __init__(
+        self,
+        delegate: httputil.HTTPMessageDelegate,
+        crowd: Crowd,
+        stream: iostream.IOStream,
+    ) -> None:
+        self._delegate = delegate
+        self._crowd = crowd
+        self._stream = stream
+
+    def headers_received(
+        self, start_line: ty.Any, headers: httputil.HTTPHeaders
+    ) -> ty.Any:
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> ty.Any:
+        self._crowd.record_progress(self._stream, len(chunk))
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        self._crowd.end_body(self._stream)
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        self._delegate.on_connection_close()
+
+
+def _address_of(stream: iostream.IOStream) -> str:
+    try:
+        return str(stream.socket.getpeername()[0])
+    except (AttributeError, OSError):
+        return "an unknown address"
--- a/src/goldcrestproxy/callers/handler.py
+++ b/src/goldcrestproxy/callers/handler.py
@@ -7,6 +7,7 @@
 import typing as ty
 
 
+from goldcrestproxy.callers import crowd as crowds
 from goldcrestproxy.callers import gate as gates
 from goldcrestproxy.callers import headers
 from goldcrestproxy.callers import streaming
@@ -29,8 +30,10 @@
         gate: gates.Gate,
         metrics: telemetry.Metrics,
         request_id_bytes_max: int,
+        crowd: crowds.Crowd | None = None,
     ) -> None:
         """Set the router, the gate, the metrics and the request id limit."""
+        self._crowd = crowd
         self._router = router
         self._gate = gate
         self._metrics = metrics
--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -12,6 +12,7 @@
 from tornado import iostream
 from tornado import web
 
+from goldcrestproxy.callers import crowd as crowds
 from goldcrestproxy.callers import gate as gates
 from goldcrestproxy.callers import headers
 from goldcrestproxy import errors
@@ -23,6 +24,8 @@
 STATUSES_WITHOUT_BODY: ty.Final = (204, 304)
 # Part of a request body that is read after the answer was sent.
 DISCARDED_BYTES_MAX: ty.Final = 32 * 1024 * 1024
+# Time for a caller to read the refusal of a body for which there is no room.
+CROWDED_OUT_S: ty.Final = 2.0
 
 
 @web.stream_request_body
@@ -37,6 +40,8 @@
     """
 
     _gate: gates.Gate
+    # None where callers are trusted not to crowd the host.
+    _crowd: crowds.Crowd | None = None
     _request_id = ""
     _request_body: wire.Pipe | None = None
     _request_body_ended = False
@@ -44,14 +49,26 @@
     _delivery_task: asyncio.Task[None] | None = None
     _entered_gate = False
     _discarded_bytes = 0
+    # Whether the request was refused for want of room for its body.
+    _crowded_out = False
 
     def enter_gate(self) -> None:
         """Count the request as in flight until its answer is written.
 
-        :raises RefusedError: if the host accepts no more requests, or if the
-            connection was closed: Tornado still parses what it has read
+        :raises RefusedError: if the host accepts no more requests, if too
+            many bodies are in flight, or if the connection was closed: Tornado
+            still parses what it has read
         """
         self.check_connected()
+        if self._crowd is not None:
+            try:
+                self._crowd.start_request(
+                    self._stream(),
+                    has_body=headers.body_bytes(self.request.headers) != 0,
+                )
+            except errors.RefusedError:
+                self._crowded_out = True
+                raise
         self._gate.enter()
         self._entered_gate = True
 
@@ -79,6 +96,9 @@
     async def refuse(self, error: errors.RefusedError) -> None:
         """Refuse the request without waiting for its body."""
         self.send_refusal(error)
+        if self._crowded_out:
+            await self._close_unread()
+            return
         if self._awaits_continue():
             # Otherwise Tornado would ask for the body after the refusal.
             await self.finish()
@@ -87,6 +107,16 @@
         connection.set_max_body_size(sys.maxsize)
         await self._flush_before_request_body_ends()
 
+    async def _close_unread(self) -> None:
+        """Close a connection without reading the body, after the refusal."""
+        self.set_header("Connection", "close")
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self.flush()
+            # Closing at once would reset the connection, and the caller might
+            # lose the refusal.
+            await asyncio.sleep(CROWDED_OUT_S)
+        self.close_connection()
+
     def _awaits_continue(self) -> bool:
         """Whether the caller sends the body only when it is asked for it."""
         expect = self.request.headers.get("Expect", "")
@@ -197,6 +227,8 @@
             while chunk := await body.read():
                 self.write(chunk)
                 await self.flush()
+                if self._crowd is not None:
+                    self._crowd.record_progress(self._stream())
         except errors.GoldcrestProxyError as error:
             LOG.warning(
                 "callers: answer to request %s was interrupted: %s",
--- a/src/goldcrestproxy/daemon/composition.py
+++ b/src/goldcrestproxy/daemon/composition.py
@@ -13,6 +13,7 @@
 from goldcrestproxy import callers
 from goldcrestproxy import control
 from goldcrestproxy.control import clock as clocks
+from goldcrestproxy.daemon import capacity
 from goldcrestproxy.daemon import peering as peerings
 from goldcrestproxy import entries
 from goldcrestproxy import operators
@@ -142,6 +143,9 @@
 ) -> httpserver.HTTPServer | None:
     if "entry" not in host_settings.roles:
         return None
+    crowd = capacity.make_crowd(
+        host_settings.limits, metrics, clocks.monotonic
+    )
     application = web.Application(
         [
             (
@@ -154,15 +158,19 @@
                     "request_id_bytes_max": (
                         host_settings.limits.request_id_bytes_max
                     ),
+                    "crowd": crowd,
                 },
             )
         ]
     )
-    return httpserver.HTTPServer(
+    server = callers.CrowdServer(
         application,
         max_header_size=host_settings.limits.header_bytes_max,
+        chunk_size=callers.CHUNK_BYTES,
         idle_connection_timeout=CALLER_IDLE_TIMEOUT_S,
     )
+    server.crowd = crowd
+    return server
 
 
 def _service_server(
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -13,6 +13,7 @@
 from goldcrestproxy import callers
 from goldcrestproxy import control
 from goldcrestproxy.control import clock as clocks
+from goldcrestproxy.daemon import capacity
 from goldcrestproxy.daemon import peering as peerings
 from goldcrestproxy import entries
 from goldcrestproxy import platform
@@ -311,20 +312,28 @@
         metrics,
         clock,
     )
+    crowd = capacity.make_crowd(host_settings.limits, metrics, clock)
     caller_application = web.Application(
         [
             (
                 r"/.*",
                 platform.IngressHandler,
-                {"dispatcher": dispatcher, "gate": gate, "metrics": metrics},
+                {
+                    "dispatcher": dispatcher,
+                    "gate": gate,
+                    "metrics": metrics,
+                    "crowd": crowd,
+                },
             )
         ]
     )
-    caller_server = httpserver.HTTPServer(
+    caller_server = callers.CrowdServer(
         caller_application,
         max_header_size=HEADER_BYTES_MAX,
+        chunk_size=callers.CHUNK_BYTES,
         idle_connection_timeout=CALLER_IDLE_TIMEOUT_S,
     )
+    caller_server.crowd = crowd
     balancer_application = web.Application(
         platform.balancer_routes(gate, lambda: link.current)
     )
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -31,8 +31,10 @@
         dispatcher: entries.Dispatcher,
         gate: callers.Gate,
         metrics: telemetry.Metrics,
+        crowd: callers.Crowd | None = None,
     ) -> None:
         """Set the dispatcher, the gate and the metrics of this host."""
+        self._crowd = crowd
         self._metrics = metrics
         self._dispatcher = dispatcher
         self._gate = gate
--- a/src/goldcrestproxy/settings/host.py
+++ b/src/goldcrestproxy/settings/host.py
@@ -126,6 +126,18 @@
     log_entries_max: int = attrs.field(
         default=20_000, validator=loading.in_range(10, 10_000_000)
     )
+    # Memory and descriptors that the process may use, to which what callers
+    # hold is limited; found out from the system if not set.
+    memory_mb: int | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(loading.in_range(32, 1_000_000)),
+    )
+    descriptors_max: int | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(
+            loading.in_range(256, 100_000_000)
+        ),
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -53,6 +53,11 @@
             "goldcrestproxy.beyond_limits",
             description="Requests refused for the limit that a target named.",
         )
+        self.crowds = meter.create_counter(
+            "goldcrestproxy.crowds",
+            description="Callers that made room for others, by outcome: "
+            "refused, or closed and in which phase.",
+        )
         self.quotas = meter.create_counter(
             "goldcrestproxy.quotas",
             description="Requests of customers with quotas, by what became "
--- /dev/null
+++ b/tests/callers/test_crowd.py
@@ -0,0 +1,135 @@
+"""Callers that hold too much together make room, the least active first."""
+
+from __future__ import annotations
+
+import pytest
+
+from goldcrestproxy import callers
+from goldcrestproxy import errors
+from goldcrestproxy import results
+from goldcrestproxy.routing import crowd_limits
+from goldcrestproxy import settings
+from goldcrestproxy import telemetry
+
+LIMITS = crowd_limits.CrowdLimits(
+    connections_max=4,
+    bodies_max=3,
+    unfinished_bodies_max=2,
+    buffered_bytes_max=1,
+)
+
+
+class FakeStream:
+    """Connection of a caller; ``unread`` while its answer is not read."""
+
+    def __init__(self):
+        self.closed = False
+        self.unread = False
+        self.socket = None
+
+    def writing(self):
+        return self.unread
+
+    def close(self):
+        self.closed = True
+
+
+class Clock:
+    now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def crowd(clock):
+    metrics = telemetry.make_metrics(settings.Telemetry(), "test")
+    return callers.Crowd(LIMITS, metrics, clock)
+
+
+def connect(crowd):
+    stream = FakeStream()
+    crowd.open(stream)
+    return stream
+
+
+def start_body(crowd):
+    stream = connect(crowd)
+    crowd.start_request(stream, has_body=True)
+    return stream
+
+
+def test_the_least_active_connection_makes_room_for_a_new_one(crowd, clock):
+    streams = [connect(crowd) for _ in range(4)]
+    clock.now_s += 1.0
+    crowd.record_progress(streams[0])
+    new = connect(crowd)
+    assert [stream.closed for stream in streams] == [False, True, False, False]
+    assert not new.closed
+
+
+def test_a_new_connection_is_closed_if_all_others_are_active(crowd):
+    streams = [connect(crowd) for _ in range(4)]
+    assert connect(crowd).closed
+    assert not any(stream.closed for stream in streams)
+
+
+def test_an_unfinished_body_makes_room_for_another(crowd, clock):
+    idle, active = start_body(crowd), start_body(crowd)
+    clock.now_s += 1.0
+    crowd.record_progress(active)
+    start_body(crowd)
+    assert idle.closed
+    assert not active.closed
+
+
+def test_a_body_is_refused_as_not_run_while_all_others_make_progress(crowd):
+    bodies = [start_body(crowd) for _ in range(2)]
+    with pytest.raises(errors.RefusedError) as caught:
+        start_body(crowd)
+    result = results.BY_CODE[caught.value.code]
+    assert (result.status, result.outcome) == (503, results.Outcome.NOT_RUN)
+    assert caught.value.retry_after_ms > 0
+    assert not any(body.closed for body in bodies)
+
+
+def test_requests_without_a_body_are_served_beside_many_bodies(crowd):
+    for _ in range(2):
+        start_body(crowd)
+    crowd.start_request(connect(crowd), has_body=False)
+
+
+def test_whole_bodies_count_until_their_requests_end(crowd, clock):
+    bodies = []
+    for _ in range(3):
+        bodies.append(start_body(crowd))
+        crowd.end_body(bodies[-1])
+    clock.now_s += 30.0
+    with pytest.raises(errors.RefusedError):
+        start_body(crowd)
+    # The next request of a connection ends the last one.
+    crowd.open(bodies[0])
+    start_body(crowd)
+
+
+def test_a_caller_that_does_not_read_its_answer_makes_room(crowd, clock):
+    bodies = []
+    for _ in range(3):
+        bodies.append(start_body(crowd))
+        crowd.end_body(bodies[-1])
+    bodies[1].unread = True
+    clock.now_s += 6.0
+    start_body(crowd)
+    assert [body.closed for body in bodies] == [False, True, False]
+
+
+def test_closed_connections_leave_nothing_behind(crowd):
+    for _ in range(20):
+        stream = start_body(crowd)
+        crowd.close(stream)
+    assert not start_body(crowd).closed
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -30,6 +30,8 @@
     """
 
     def __init__(self, folder, control_count=3, entry_count=2):
+        # Options of prlimit for a daemon by name, from its next start.
+        self.resource_limits = {}
         self.folder = folder
         self.processes = {}
         self.logs = {}
@@ -134,6 +136,9 @@
 
     def _run(self, name, program, *arguments):
         self.logs[name] = self.folder / f"{name}.log"
+        limits = self.resource_limits.get(name)
+        if limits:
+            program = ["prlimit", *limits, *program]
         with self.logs[name].open("ab") as output:
             self.processes[name] = subprocess.Popen(
                 [*program, *arguments], stdout=output, stderr=output
@@ -258,6 +263,11 @@
         pages = pathlib.Path(f"/proc/{self.processes[name].pid}/statm")
         return int(pages.read_text().split()[1]) * resource.getpagesize()
 
+    def descriptors(self, name):
+        """Return the number of files that a process has open."""
+        folder = pathlib.Path(f"/proc/{self.processes[name].pid}/fd")
+        return len(list(folder.iterdir()))
+
     def _count_in_logs(self, line):
         return sum(log.read_text().count(line) for log in self.logs.values())
 
