Bound bodies in flight by what they may hold instead of their number

A request of a few kilobytes was counted like an upload of unknown length, so a host of 300 MB refused further ones from 137 in flight on.

--- a/src/goldcrestproxy/callers/crowd.py
+++ b/src/goldcrestproxy/callers/crowd.py
@@ -49,6 +49,7 @@
         # Those of them that hold a body, the longest first.
         self._bodies: dict[iostream.IOStream, crowd_limits.CallerActivity] = {}
         self._unfinished_bodies = 0
+        self._held_bytes = 0
         self._crawlers_until_s = -math.inf
         self._lag_timer: asyncio.TimerHandle | None = None
         self._closed: collections.Counter[str] = collections.Counter()
@@ -81,10 +82,11 @@
             self._leave_request(stream, activity)
 
     def start_request(
-        self, stream: iostream.IOStream, *, has_body: bool
+        self, stream: iostream.IOStream, body_bytes: int
     ) -> None:
         """Count a request whose head was read.
 
+        :param body_bytes: the length of its body, -1 if it is not known
         :raises RefusedError: if there are too many bodies, and none of their
             callers has been idle
         """
@@ -94,9 +96,12 @@
         activity.requests += 1
         activity.phase = crowd_limits.Phase.ANSWER
         self._progress(stream, activity)
-        if not has_body:
+        if not body_bytes:
             return
-        if not self._has_room() and not self._make_room(self._bodies):
+        held_bytes = crowd_limits.held_bytes(body_bytes)
+        if not self._has_room(held_bytes) and not self._make_room(
+            self._bodies
+        ):
             activity.phase = crowd_limits.Phase.DISCARDING
             self._metrics.crowds.add(1, {"outcome": "refused"})
             raise results.refusal(
@@ -108,6 +113,8 @@
         activity.phase = crowd_limits.Phase.BODY
         activity.body_started_s = self._clock()
         activity.body_bytes = 0
+        activity.held_bytes = held_bytes
+        self._held_bytes += held_bytes
         self._bodies[stream] = activity
         self._unfinished_bodies += 1
         self._watch_lag()
@@ -128,9 +135,9 @@
             self._end_body(activity)
             self._progress(stream, activity)
 
-    def _has_room(self) -> bool:
+    def _has_room(self, held_bytes: int) -> bool:
         return self._limits.has_room(
-            bodies=len(self._bodies),
+            held_bytes=self._held_bytes + held_bytes,
             unfinished_bodies=self._unfinished_bodies,
             crawlers=self._clock() < self._crawlers_until_s,
         )
@@ -177,6 +184,8 @@
     ) -> None:
         self._end_body(activity)
         self._bodies.pop(stream, None)
+        self._held_bytes -= activity.held_bytes
+        activity.held_bytes = 0
         activity.phase = crowd_limits.Phase.WAITING
 
     def _make_room(
--- a/src/goldcrestproxy/callers/handler.py
+++ b/src/goldcrestproxy/callers/handler.py
@@ -63,6 +63,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request if idempotent, since its caller disconnected."""
+        # Ends Tornado's wait for the rest of the body.
         super().on_connection_close()
         error = results.refusal(
             results.BODY_INCOMPLETE, "the caller closed the connection"
--- a/src/goldcrestproxy/callers/streaming.py
+++ b/src/goldcrestproxy/callers/streaming.py
@@ -63,8 +63,7 @@
         if self._crowd is not None:
             try:
                 self._crowd.start_request(
-                    self._stream(),
-                    has_body=headers.body_bytes(self.request.headers) != 0,
+                    self._stream(), headers.body_bytes(self.request.headers)
                 )
             except errors.RefusedError:
                 self._crowded_out = True
@@ -156,13 +155,6 @@
             self._entered_gate = False
             self._gate.leave()
 
-    def on_connection_close(self) -> None:
-        """End the request, whose caller has disconnected.
-
-        Tornado waits for the rest of the body until it is told so.
-        """
-        super().on_connection_close()
-
     async def data_received(self, chunk: bytes) -> None:
         """Forward a chunk of the request body; wait if the pipe is full."""
         if self._delivery_task is None or self._delivery_task.done():
--- a/src/goldcrestproxy/daemon/capacity.py
+++ b/src/goldcrestproxy/daemon/capacity.py
@@ -52,11 +52,11 @@
     wire.BUDGET.limit_bytes = bounds.buffered_bytes_max
     LOG.info(
         "daemon: %d MB and %d descriptors bear %d connections of callers and "
-        "%d bodies, %d of them unfinished",
+        "%d MB of bodies, %d of them unfinished",
         capacity.memory_bytes // BYTES_PER_MB,
         capacity.descriptors,
         bounds.connections_max,
-        bounds.bodies_max,
+        bounds.body_bytes_max // BYTES_PER_MB,
         bounds.unfinished_bodies_max,
     )
     return callers.Crowd(bounds, metrics, clock)
--- a/src/goldcrestproxy/platform/ingress.py
+++ b/src/goldcrestproxy/platform/ingress.py
@@ -65,6 +65,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request, since its caller has disconnected."""
+        # Ends Tornado's wait for the rest of the body.
         super().on_connection_close()
         if self._request_body is not None and not self._request_body.ended:
             self._request_body.fail(
--- a/src/goldcrestproxy/routing/crowd_limits.py
+++ b/src/goldcrestproxy/routing/crowd_limits.py
@@ -20,8 +20,11 @@
 BODIES_PART: ty.Final = 0.5
 # A connection with its parser and as much of a head as is read.
 CONNECTION_BYTES: ty.Final = 88 * 1024
-# A body with all buffers between caller and target filled.
+# A body with all buffers between caller and target filled. A short one fills
+# them by copies of itself.
 BODY_BYTES: ty.Final = 640 * 1024
+BODY_BYTES_MIN: ty.Final = 64 * 1024
+BODY_COPIES: ty.Final = 4
 # Left for files, peers and connections to targets.
 DESCRIPTORS_RESERVED: ty.Final = 600
 # Bodies that still arrive keep handles of the client to targets busy; the
@@ -57,26 +60,30 @@
 class CrowdLimits:
     """Limits on all callers of a host together.
 
-    ``bodies_max`` bounds requests with a body in flight,
-    ``unfinished_bodies_max`` those whose body still arrives.
+    ``body_bytes_max`` bounds what requests with a body in flight may hold,
+    ``unfinished_bodies_max`` the number of those whose body still arrives.
     """
 
     connections_max: int
-    bodies_max: int
+    body_bytes_max: int
     unfinished_bodies_max: int
     buffered_bytes_max: int
 
     def has_room(
-        self, *, bodies: int, unfinished_bodies: int, crawlers: bool
+        self, *, held_bytes: int, unfinished_bodies: int, crawlers: bool
     ) -> bool:
         """Whether another body may start to arrive.
 
+        :param held_bytes: what all bodies in flight may hold, with this one
         :param crawlers: whether bodies that crawl were closed a moment ago
         """
         unfinished_max = self.unfinished_bodies_max
         if crawlers:
             unfinished_max = min(unfinished_max, UNFINISHED_BODIES_BEHIND_MAX)
-        return bodies < self.bodies_max and unfinished_bodies < unfinished_max
+        return (
+            held_bytes <= self.body_bytes_max
+            and unfinished_bodies < unfinished_max
+        )
 
     @classmethod
     def of(cls, capacity: HostCapacity) -> CrowdLimits:
@@ -86,17 +93,27 @@
             int(usable * CONNECTIONS_PART / CONNECTION_BYTES),
             capacity.descriptors - DESCRIPTORS_RESERVED,
         )
-        bodies = max(BODIES_MIN, int(usable * BODIES_PART / BODY_BYTES))
+        body_bytes = max(BODIES_MIN * BODY_BYTES, int(usable * BODIES_PART))
         return cls(
             connections_max=max(CONNECTIONS_MIN, connections),
-            bodies_max=bodies,
-            unfinished_bodies_max=min(bodies, UNFINISHED_BODIES_MAX),
+            body_bytes_max=body_bytes,
+            unfinished_bodies_max=UNFINISHED_BODIES_MAX,
             buffered_bytes_max=min(
                 BUFFERED_BYTES_MAX, int(usable * BODIES_PART / 2)
             ),
         )
 
 
+def held_bytes(body_bytes: int) -> int:
+    """Return what a body may hold on its way from a caller to a target.
+
+    :param body_bytes: the length of the body, -1 if it is not known
+    """
+    if body_bytes < 0:
+        return BODY_BYTES
+    return min(BODY_BYTES, BODY_BYTES_MIN + BODY_COPIES * body_bytes)
+
+
 class Phase(enum.Enum):
     """What a caller's connection is doing."""
 
@@ -121,6 +138,8 @@
     # Of the body that arrives.
     body_started_s: float = 0.0
     body_bytes: int = 0
+    # What the body may hold, until its request ends.
+    held_bytes: int = 0
 
     def may_be_closed(self, now_s: float, *, unread: bool) -> bool:
         """Whether the caller makes room for others.
--- a/tests/callers/test_crowd.py
+++ b/tests/callers/test_crowd.py
@@ -13,7 +13,7 @@
 
 LIMITS = crowd_limits.CrowdLimits(
     connections_max=4,
-    bodies_max=3,
+    body_bytes_max=3 * crowd_limits.BODY_BYTES,
     unfinished_bodies_max=2,
     buffered_bytes_max=1,
 )
@@ -60,7 +60,7 @@
 
 def start_body(crowd):
     stream = connect(crowd)
-    crowd.start_request(stream, has_body=True)
+    crowd.start_request(stream, -1)
     return stream
 
 
@@ -101,7 +101,7 @@
 def test_requests_without_a_body_are_served_beside_many_bodies(crowd):
     for _ in range(2):
         start_body(crowd)
-    crowd.start_request(connect(crowd), has_body=False)
+    crowd.start_request(connect(crowd), 0)
 
 
 def test_whole_bodies_count_until_their_requests_end(crowd, clock):
--- a/tests/routing/test_crowd_limits.py
+++ b/tests/routing/test_crowd_limits.py
@@ -23,12 +23,10 @@
     held = (
         crowd_limits.PROCESS_BYTES
         + bounds.connections_max * crowd_limits.CONNECTION_BYTES
-        + bounds.bodies_max * crowd_limits.BODY_BYTES
+        + bounds.body_bytes_max
     )
     assert held < memory_mb * MB
-    assert bounds.buffered_bytes_max <= (
-        bounds.bodies_max * crowd_limits.BODY_BYTES
-    )
+    assert bounds.buffered_bytes_max <= bounds.body_bytes_max
 
 
 def test_descriptors_are_left_for_targets_and_files():
@@ -38,16 +36,25 @@
 
 
 @pytest.mark.parametrize(
-    "memory_mb, descriptors, callers, bodies",
-    [(160, 1638, 100, 30), (200, 4100, 150, 60), (300, 4100, 500, 90)],
+    "memory_mb, descriptors, callers, requests, uploads",
+    [
+        (160, 1638, 100, 30, 20),
+        (200, 4100, 150, 60, 30),
+        (300, 4100, 500, 300, 60),
+    ],
 )
 def test_callers_of_a_busy_host_meet_no_limit(
-    memory_mb, descriptors, callers, bodies
+    memory_mb, descriptors, callers, requests, uploads
 ):
     """Several times what a host of each size has on its heaviest days."""
     bounds = limits(memory_mb, descriptors)
     assert bounds.connections_max >= callers
-    assert bounds.unfinished_bodies_max >= bodies
+    held = requests * crowd_limits.held_bytes(
+        4000
+    ) + uploads * crowd_limits.held_bytes(60_000)
+    assert bounds.has_room(
+        held_bytes=held, unfinished_bodies=uploads, crawlers=False
+    )
 
 
 def activity(phase, idle_s, requests=1):
@@ -108,7 +115,7 @@
     ):
         assert (
             bounds.has_room(
-                bodies=50, unfinished_bodies=unfinished, crawlers=crawlers
+                held_bytes=0, unfinished_bodies=unfinished, crawlers=crawlers
             )
             is room
         )
