Forward questions of entry hosts to the leader in one place

Questions for permits and for tokens of quotas had a copy each of the same forwarding. No behaviour changes; test_all_hosts_together_keep_to_a_quota passes, by way of a control host that does not lead or not.

--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -273,29 +273,33 @@
     ) -> wire.ttypes.PermitReply:
         if self._leadership is not None:
             return self._leadership.permit(request)
-        leader = formation.leader_address(self.replica)
-        if leader is None or request.forwarded:
-            raise formation.no_leader_refusal(self.replica)
-        request.forwarded = True
-        try:
-            return await self.replica.peers.call(
-                leader, wire.Method.PERMIT, request, PERMIT_TIMEOUT_MS
-            )
-        except errors.WireError as error:
-            raise formation.no_leader_refusal(self.replica) from error
+        return await self._ask_leader(
+            wire.Method.PERMIT, request, PERMIT_TIMEOUT_MS
+        )
 
     async def _quota(
         self, _: wire.Channel, request: wire.ttypes.QuotaRequest
     ) -> wire.ttypes.QuotaReply:
         if self._leadership is not None:
             return self._leadership.quota(request)
+        return await self._ask_leader(
+            wire.Method.QUOTA, request, QUOTA_TIMEOUT_MS
+        )
+
+    async def _ask_leader(
+        self, method: wire.Method, request: ty.Any, timeout_ms: int
+    ) -> ty.Any:
+        """Forward an entry host's question to the leader, once.
+
+        :raises RefusedError: without a leader that answers in time
+        """
         leader = formation.leader_address(self.replica)
         if leader is None or request.forwarded:
             raise formation.no_leader_refusal(self.replica)
         request.forwarded = True
         try:
             return await self.replica.peers.call(
-                leader, wire.Method.QUOTA, request, QUOTA_TIMEOUT_MS
+                leader, method, request, timeout_ms
             )
         except errors.WireError as error:
             raise formation.no_leader_refusal(self.replica) from error
