--- a/tests/control/simulated_targets.py
+++ b/tests/control/simulated_targets.py
@@ -31,6 +31,8 @@
 class FakeReplica:
     """Commits immediately; successive leaders share its state."""
 
+    host: str = "control-a"
+    term: int = 1
     state: control.ControlState = attrs.field(factory=control.ControlState)
     now_s: float = 1000.0
     leading: bool = True
