Review: a group with two replaced hosts does not survive two lost disks

Cause: a voter that is gone is removed only while the number of voters is even. Two successors that join together make seven voters out of five, two of them gone for good, and these stay.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,108 @@
+"""Two control hosts are replaced, and later two others lose their disks."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common-2"))
+
+import harness  # noqa: E402
+
+# RULES.md: `recover` of the site file.
+RECOVER_S = 15.0
+# DEPLOY.md: `sync_time`; a removed host stops counting once its successor has
+# had that time.
+SYNC_S = 4.0
+ASKED_S = 12.0
+
+
+async def case(deployment, record, trouble):
+    deployment.start_all()
+    operator = harness.Operator(deployment, record)
+    targets = [
+        harness.Target(
+            deployment,
+            record,
+            f"i-{number:08x}",
+            "ledger",
+            harness.ZONES[number % 2],
+            keyed=True,
+            listen_address=f"{deployment.net}.{100 + number}",
+        )
+        for number in range(4)
+    ]
+    for target in targets:
+        await target.start()
+    await operator.configure({"ledger": True}, {"view": ("safe", "ledger")})
+    await harness.until_served(
+        deployment, record, "entry-0", "GET", "/view/a", key=7
+    )
+    await asyncio.sleep(SYNC_S)
+
+    # Planned: both new hosts first, then SIGTERM for both old ones.
+    leader = deployment.leader()
+    old = [name for name in deployment.controls if name != leader][:2]
+    new = [deployment.add_control() for _ in old]
+    await asyncio.sleep(SYNC_S)
+    for name in old:
+        deployment.signal(name, signal.SIGTERM)
+    await harness.until(
+        lambda: all(deployment.ended(name) is not None for name in old),
+        8,
+        "the old hosts have ended",
+    )
+    for name in old:
+        deployment.remove_control(name)
+    await asyncio.sleep(2 * SYNC_S)
+    await operator.order(
+        "POST", f"/goldcrestproxy/evacuate/{harness.ZONES[2]}"
+    )
+    record.add("hosts", old=old, new=new, listed=deployment.controls)
+
+    if trouble:
+        # Two of five hosts lose their disks, as many as are to be borne.
+        lost = random.sample(deployment.controls, 2)
+        for name in lost:
+            deployment.kill(name)
+        for name in lost:
+            deployment.wipe(name)
+        await asyncio.sleep(0.5)
+        for name in lost:
+            deployment.start(name)
+
+    await asyncio.sleep(RECOVER_S)
+    served = 0
+    for number in range(20):
+        _, answer = await harness.request(
+            deployment,
+            record,
+            "entry-0",
+            "GET",
+            "/view/b",
+            key=number * 3000,
+            deadline_ms=1500,
+        )
+        served += answer is not None and answer.status == 200
+    try:
+        answer = await operator.order(
+            "GET", "/goldcrestproxy/config", within_s=ASKED_S
+        )
+        read_back = answer.status
+    except harness.CannotRun:
+        read_back = None
+    record.add("after recover", served=served, of=20, config=read_back)
+    if read_back != 200 or served < 5:
+        return (
+            f"RECOVER, CONFIG: {RECOVER_S:.0f} s after all hosts were back, "
+            f"{served} of 20 requests were served and the config was "
+            f"{'read' if read_back == 200 else 'not to be read'}"
+        )
+    return None
+
+
+harness.play(FOLDER, case)
