Review: a late report at a new leader frees keys that are held

Cause: the sequence numbers of reports are not replicated, so a new leader accepts a report that is older than those its predecessor served, and frees the blocks that it names as released without comparing their tokens.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -373,63 +373,67 @@
 
 
 class SlowLink:
-    """Link to an address on which all that is sent arrives later.
+    """Link to an address on which what is sent arrives seconds later.
 
-    ``delay_s`` applies to each chunk and to the end of a connection in the
-    direction to the address. The other direction is not delayed.
+    What a caller sends, and the end of its connection, is kept until
+    ``deliver`` is called, and then arrives with the gaps in between with
+    which it was sent. The other direction is not delayed.
     """
 
     def __init__(self, listen_address, target):
         self._listen_address = listen_address
         self._target = target
+        self._delivered = asyncio.Event()
+        # When the first byte was sent, None before that.
+        self.sent_s = None
+        # How long it was under way.
         self.delay_s = 0.0
         self.address = None
-        self._server = None
-        self._tasks = set()
 
     async def start(self):
-        self._server = await asyncio.start_server(
+        server = await asyncio.start_server(
             self._accept, self._listen_address, 0
         )
-        self.address = self._server.sockets[0].getsockname()[:2]
+        self.address = server.sockets[0].getsockname()[:2]
+
+    def deliver(self):
+        """Let everything arrive that was sent."""
+        self.delay_s = time.monotonic() - self.sent_s
+        self._delivered.set()
 
     async def _accept(self, reader, writer):
-        self._tasks.add(asyncio.current_task())
-        target_writer = None
-        queue = asyncio.Queue()
+        chunks = asyncio.Queue()
 
         async def receive():
-            while True:
+            data = b"-"
+            while data:
                 try:
                     data = await reader.read(65_536)
                 except ConnectionError:
                     data = b""
-                due_s = asyncio.get_running_loop().time() + self.delay_s
-                queue.put_nowait((due_s, data))
-                if not data:
-                    return
+                now_s = time.monotonic()
+                self.sent_s = self.sent_s or now_s
+                chunks.put_nowait((now_s, data))
 
         async def send_back(target_reader):
             with contextlib.suppress(ConnectionError):
                 while data := await target_reader.read(65_536):
                     writer.write(data)
-            writer.close()
 
         receiving = asyncio.create_task(receive())
-        returning = None
+        await self._delivered.wait()
+        target_writer = returning = None
         try:
             while True:
-                due_s, data = await queue.get()
-                await asyncio.sleep(
-                    due_s - asyncio.get_running_loop().time()
-                )
+                sent_s, data = await chunks.get()
+                await asyncio.sleep(sent_s + self.delay_s - time.monotonic())
+                if not data:
+                    return
                 if target_writer is None:
                     target_reader, target_writer = (
                         await asyncio.open_connection(*self._target)
                     )
                     returning = asyncio.create_task(send_back(target_reader))
-                if not data:
-                    break
                 target_writer.write(data)
         except OSError:
             pass
@@ -437,7 +441,6 @@
             receiving.cancel()
             if returning is not None:
                 returning.cancel()
-            if target_writer is not None:
                 target_writer.close()
             writer.close()
 
@@ -553,6 +556,7 @@
         self.work_s = options.get("work_s", 0.03)
         self.heartbeat_s = options.get("heartbeat_s", HEARTBEAT_S)
         self.listen_address = options.get("listen_address", deployment.net)
+        self.port = options.get("port", 0)
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
@@ -568,6 +572,8 @@
         self.links = {}
         # The control host to which the next report goes first.
         self.next_control = None
+        # The same for the next report that names released keys.
+        self.next_with_freed = None
         self.address = None
         self.last_acknowledged_s = 0.0
         self._server = None
@@ -576,9 +582,10 @@
 
     async def start(self):
         self._server = await asyncio.start_server(
-            self._serve_connection, self.listen_address, 0
+            self._serve_connection, self.listen_address, self.port
         )
         host, port = self._server.sockets[0].getsockname()[:2]
+        self.port = port
         self.address = f"{host}:{port}"
         self._task = asyncio.create_task(self._report_forever())
 
@@ -637,6 +644,11 @@
         """Report to control hosts until one acknowledges it in a second."""
         controls = list(self.deployment.controls)
         random.shuffle(controls)
+        if self.freed and self.next_with_freed is not None:
+            self.next_control, self.next_with_freed = (
+                self.next_with_freed,
+                None,
+            )
         if self.next_control is not None:
             controls.remove(self.next_control)
             controls.insert(0, self.next_control)
