--- a/review/10/case.py
+++ b/review/10/case.py
@@ -22,10 +22,13 @@
 async def until_learner(deployment, leader, name):
     """Wait until the leader has added a host as a learner."""
     until_s = time.monotonic() + 15
-    while f"{name} (learner)" not in deployment.log(leader):
-        if time.monotonic() > until_s:
-            raise harness.CannotRun(f"{name} did not join")
-        await asyncio.sleep(0.003)
+    read = ""
+    with open(deployment.folder / f"{leader}.log", errors="replace") as log:
+        while f"{name} (learner)" not in read:
+            if time.monotonic() > until_s:
+                raise harness.CannotRun(f"{name} did not join")
+            await asyncio.sleep(0.001)
+            read = read[-200:] + log.read()
 
 
 async def case(deployment, record, trouble):
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -903,6 +903,8 @@
     whether the disruption is to happen; it returns a text if a rule was
     broken, and None if it held.
     """
+    # All daemons are ended below, also when the script is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
     deployment = Deployment(record, **options)
