Let each leader complete the changes of members that another began

Cause: one task of the leader carried the three changes of an addition (learner, voter, removal of an older identity). When it ended, nobody went on. Evidence: test_a_learner_gets_its_vote_from_the_next_leader, in which a learner catches up only under its second leader, failed before (no vote after 15 s).

Change: each leader derives the next change from the replicated members and its observations, and commits it; a join request only makes a learner. So what remains to be done stands in the log, and any leader does it. The same for an older identity that keeps its vote, a learner that catches up late, a learner whose host is gone, and hosts that an operator adds. A learner no longer has to hold everything at the instant of a check, and no lock is held while it catches up. A log line and a metric tell of hosts without a vote.

tests/control/replicas.py: the replicas of the tests run the manager that now does the last two steps; the tests of additions call it in place of the function that it replaces, and check the same.

--- a/src/goldcrestproxy/control/formation.py
+++ b/src/goldcrestproxy/control/formation.py
@@ -3,9 +3,10 @@
 The settings of each host name the addresses of some seeds. On the very first
 start, the first seed by address bootstraps the group with the other seeds.
 Every other control host sends a join request, and the leader adds it as a
-learner, then as a voter. A host that lost its disk restarts with a new
-identity and joins like any other; its old identity is removed after that. A
-silent voter is removed once a new host has joined in its place.
+learner. ``membership_manager`` does the rest: a learner becomes a voter once
+it has caught up. A host that lost its disk restarts with a new identity and
+joins like any other; its old identity is removed after that. A silent voter
+is removed once a new host has joined in its place.
 """
 
 from __future__ import annotations
@@ -19,12 +20,9 @@
 from goldcrestproxy.control import codec
 from goldcrestproxy.control import follower as followers
 from goldcrestproxy.control import members as groups
-from goldcrestproxy.control import membership
 from goldcrestproxy.control import replica as replicas
-from goldcrestproxy.control import replication as replications
 from goldcrestproxy import errors
 from goldcrestproxy import results
-from goldcrestproxy import settings
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -34,11 +32,6 @@
 # may have been removed.
 REJOIN_AFTER_S: ty.Final = 2.0
 CALL_TIMEOUT_MS: ty.Final = 500
-CATCH_UP_TIMEOUT_S: ty.Final = 3.0
-# A voter without contact for this long is removed if the number of voters is
-# even. An even number means that the silent host's replacement has already
-# joined, so one voter is spare.
-SILENT_VOTER_S: ty.Final = 2.5
 
 
 @attrs.frozen(kw_only=True)
@@ -203,92 +196,6 @@
         )
 
 
-class MembershipManager:
-    """Adds hosts and removes silent voters during one leader's term."""
-
-    def __init__(
-        self,
-        replica: replicas.Replica,
-        replication: replications.Replication,
-    ) -> None:
-        """Bind to the leader's replication."""
-        self._replica = replica
-        self._replication = replication
-        self._change_lock = asyncio.Lock()
-        self._join_tasks: dict[str, asyncio.Task[None]] = {}
-
-    async def run(self) -> None:
-        """Remove silent voters that the group can spare, until cancelled."""
-        while True:
-            await asyncio.sleep(POLL_S)
-            if self._change_lock.locked() or not self._replication.established:
-                continue
-            try:
-                async with self._change_lock:
-                    await self._remove_silent_voter()
-            except errors.RefusedError as error:
-                LOG.info("control: members not changed: %s", error)
-            except (errors.NotLeaderError, errors.ProposalLostError):
-                return
-
-    def join(self, request: wire.ttypes.JoinRequest) -> bool:
-        """Start to add a host; return whether it is a voter already."""
-        member = self._replica.members.find(request.replica)
-        if member is not None and member.voter:
-            return True
-        if request.replica not in self._join_tasks:
-            task = asyncio.create_task(self._add_host(request))
-            self._join_tasks[request.replica] = task
-            task.add_done_callback(
-                lambda _: self._join_tasks.pop(request.replica, None)
-            )
-        return False
-
-    def close(self) -> None:
-        """Cancel the additions in progress; the hosts repeat requests."""
-        for task in self._join_tasks.values():
-            task.cancel()
-
-    async def _add_host(self, request: wire.ttypes.JoinRequest) -> None:
-        try:
-            async with self._change_lock:
-                await membership.add_member(
-                    self._replica,
-                    self._replication,
-                    settings.ControlHost(
-                        host=request.host,
-                        address=request.address,
-                        peer_port=request.peer_port,
-                    ),
-                    catch_up_timeout_s=CATCH_UP_TIMEOUT_S,
-                )
-        except (
-            errors.NotLeaderError,
-            errors.ProposalLostError,
-            errors.RefusedError,
-            errors.WireError,
-        ) as error:
-            LOG.warning("control: could not add %s: %s", request.host, error)
-
-    async def _remove_silent_voter(self) -> None:
-        """Remove a silent voter if the number of voters is even.
-
-        An even group tolerates no more losses than one with a voter less.
-        """
-        voters = self._replica.members.voters()
-        if len(voters) % 2 == 1:
-            return
-        silent = [
-            member
-            for member in voters
-            if member.replica != self._replica.replica
-            and self._replication.silent_s(member) > SILENT_VOTER_S
-        ]
-        if silent:
-            LOG.warning("control: removing silent voter %s", silent[0].host)
-            await membership.remove_replica(self._replica, silent[0].replica)
-
-
 def leader_address(replica: replicas.Replica) -> wire.PeerAddress | None:
     """Return the leader's peer address, None while it is unknown."""
     for member in replica.members.members:
--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -12,6 +12,7 @@
 from goldcrestproxy.control import entry_directory
 from goldcrestproxy.control import feed
 from goldcrestproxy.control import formation
+from goldcrestproxy.control import membership_manager
 from goldcrestproxy.control import planner
 from goldcrestproxy.control import registrar as registrars
 from goldcrestproxy.control import replica as replicas
@@ -59,8 +60,10 @@
         """
         self._replica = replica
         self._directory = directory or entry_directory.EntryDirectory()
-        self.membership_manager = formation.MembershipManager(
-            replica, replication
+        self.membership_manager = membership_manager.MembershipManager(
+            replica,
+            replication,
+            remove_silent=registrar_settings is not None,
         )
         self.registrar = (
             registrars.Registrar(
@@ -97,13 +100,15 @@
     async def run(self) -> None:
         """Run the leader's tasks until the term is over."""
         replicating = asyncio.create_task(self._replication.run())
-        if self.registrar is None:
-            tasks = [asyncio.create_task(self._run_planner())]
-        else:
-            tasks = [
-                asyncio.create_task(self.registrar.run()),
-                asyncio.create_task(self.membership_manager.run()),
-            ]
+        planning = (
+            self._run_planner()
+            if self.registrar is None
+            else self.registrar.run()
+        )
+        tasks = [
+            asyncio.create_task(planning),
+            asyncio.create_task(self.membership_manager.run()),
+        ]
         try:
             await replicating
         finally:
--- a/src/goldcrestproxy/control/membership.py
+++ b/src/goldcrestproxy/control/membership.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import typing as ty
 
+import attrs
+
 from goldcrestproxy.control import codec
 from goldcrestproxy.control import follower as followers
 from goldcrestproxy.control import members as groups
 from goldcrestproxy.control import replica as replicas
-from goldcrestproxy.control import replication as replications
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy import settings
@@ -19,8 +19,6 @@
 LOG = logging.getLogger(__name__)
 
 CALL_TIMEOUT_MS: ty.Final = 2_000
-CATCH_UP_TIMEOUT_S: ty.Final = 60.0
-CATCH_UP_POLL_S: ty.Final = 0.02
 
 
 async def bootstrap_group(
@@ -58,14 +56,14 @@
     replica: replicas.Replica,
     control_hosts: ty.Iterable[settings.ControlHost],
 ) -> groups.Members:
-    members = [await _resolve_member(replica, host) for host in control_hosts]
+    members = [await resolve_member(replica, host) for host in control_hosts]
     return groups.Members(members=tuple(members))
 
 
-async def _resolve_member(
+async def resolve_member(
     replica: replicas.Replica, host: settings.ControlHost
 ) -> groups.Member:
-    """Return a host as a member, after a query for its identity.
+    """Return a host as a voter, after a query for its identity.
 
     :raises RefusedError: when it cannot be reached
     """
@@ -98,40 +96,22 @@
     )
 
 
-async def add_member(
-    replica: replicas.Replica,
-    replication: replications.Replication,
-    host: settings.ControlHost,
-    *,
-    catch_up_timeout_s: float = CATCH_UP_TIMEOUT_S,
-) -> groups.Members:
-    """Add a host as a learner, then as a voter once it has caught up.
-
-    Older identities of the same host, left by a lost disk, are removed
-    last. Each step is one committed change.
+async def add_learner(
+    replica: replicas.Replica, member: groups.Member
+) -> groups.Member:
+    """Commit a host as a learner, unless it is one already.
 
-    :raises RefusedError: when the host cannot be added now
+    :raises RefusedError: when it is a voter, or cannot be added now
     """
-    member = await _resolve_member(replica, host)
     existing = replica.members.find(member.replica)
     if existing is not None and existing.voter:
         raise results.refusal(
-            results.MEMBERSHIP_REFUSED, f"{host.host} is a member already"
+            results.MEMBERSHIP_REFUSED, f"{member.host} is a member already"
         )
-    learner = groups.Member(
-        replica=member.replica,
-        host=member.host,
-        address=member.address,
-        peer_port=member.peer_port,
-        voter=False,
-    )
-    await _commit(replica, replica.members.with_member(learner))
-    await _wait_caught_up(replication, learner, catch_up_timeout_s)
-    await _commit(replica, replica.members.with_member(member))
-    for old in replica.members.members:
-        if old.host == host.host and old.replica != member.replica:
-            await _commit(replica, replica.members.without(old.replica))
-    return replica.members
+    learner = attrs.evolve(member, voter=False)
+    if existing != learner:
+        await commit(replica, replica.members.with_member(learner))
+    return learner
 
 
 async def remove_member(
@@ -153,19 +133,11 @@
                 results.MEMBERSHIP_REFUSED,
                 f"{host} is the last voter; add another host first",
             )
-        await _commit(replica, remaining)
+        await commit(replica, remaining)
     return replica.members
 
 
-async def remove_replica(replica: replicas.Replica, identity: str) -> None:
-    """Remove one replica from the group.
-
-    :raises RefusedError: when another change is not committed yet
-    """
-    await _commit(replica, replica.members.without(identity))
-
-
-async def _commit(replica: replicas.Replica, members: groups.Members) -> None:
+async def commit(replica: replicas.Replica, members: groups.Members) -> None:
     """Commit one change of membership.
 
     :raises RefusedError: when another change is not committed yet
@@ -181,20 +153,3 @@
         for member in members.members
     )
     LOG.info("control: members are now %s", hosts)
-
-
-async def _wait_caught_up(
-    replication: replications.Replication,
-    learner: groups.Member,
-    timeout_s: float,
-) -> None:
-    try:
-        async with asyncio.timeout(timeout_s):
-            while not replication.caught_up(learner.replica):
-                await asyncio.sleep(CATCH_UP_POLL_S)
-    except TimeoutError:
-        raise results.refusal(
-            results.MEMBERSHIP_REFUSED,
-            f"{learner.host} did not catch up in {timeout_s:.0f} s; "
-            "it stays a learner: mend it and repeat",
-        ) from None
--- a/src/goldcrestproxy/control/replication.py
+++ b/src/goldcrestproxy/control/replication.py
@@ -96,11 +96,9 @@
             and self._replica.clock() < self.quorum_contact_s() + lease_s
         )
 
-    def caught_up(self, replica: str) -> bool:
-        """Return whether a follower holds all committed entries."""
-        return self._match_index.get(replica, -1) >= (
-            self._replica.commit_index
-        )
+    def caught_up(self, replica: str, index: int) -> bool:
+        """Return whether a follower holds all entries up to an index."""
+        return self._match_index.get(replica, -1) >= index
 
     def silent_s(self, member: groups.Member) -> float:
         """Return the time since the last contact with a member."""
--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -206,6 +206,14 @@
             return {}
         return self._leadership.replication.entries_behind()
 
+    def member_counts(self) -> dict[str, int]:
+        """Return the number of voters and learners, if this host leads."""
+        if self._leadership is None:
+            return {}
+        members = self.replica.members
+        voters = len(members.voters())
+        return {"voter": voters, "learner": len(members.members) - voters}
+
     async def _serve_as_leader(self, call: registry.Call) -> registry.Answer:
         leadership = self._leadership
         if leadership is None or leadership.registrar is None:
@@ -354,16 +362,19 @@
         leadership = self._current_leadership()
         match name:
             case "members-add":
-                members = await membership.add_member(
-                    self.replica,
-                    leadership.replication,
-                    self._control_host(argument),
-                )
+                host = self._control_host(argument)
+                with _refusal_on_lost_leadership():
+                    members = await leadership.membership_manager.add_member(
+                        host
+                    )
                 return queries.describe_members(members)
             case "members-remove":
-                members = await membership.remove_member(
-                    self.replica, argument
-                )
+                with _refusal_on_lost_leadership():
+                    members = (
+                        await leadership.membership_manager.remove_member(
+                            argument
+                        )
+                    )
                 return queries.describe_members(members)
             case "members":
                 return queries.describe_members(self.replica.members)
--- a/src/goldcrestproxy/daemon/composition.py
+++ b/src/goldcrestproxy/daemon/composition.py
@@ -63,6 +63,7 @@
     control_service = _control_service(host_settings, peers, handlers)
     if control_service is not None:
         metrics.observe_entries_behind(control_service.entries_behind)
+        metrics.observe_members(control_service.member_counts)
     link = entries.ControlLink(host_settings, peering.session, peers)
     link.add_handlers(handlers)
     configuration = entries.ActiveConfiguration(link)
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -113,6 +113,7 @@
         )
         control_service.add_handlers(handlers)
         metrics.observe_entries_behind(control_service.entries_behind)
+        metrics.observe_members(control_service.member_counts)
         forward = handlers.calls[wire.Method.FORWARD]
         handlers.calls[wire.Method.FORWARD] = _gated(forward, control_gate)
         listeners.append(
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -102,6 +102,22 @@
             description="Log entries that a control host lacks.",
         )
 
+    def observe_members(self, read: ty.Callable[[], dict[str, int]]) -> None:
+        """Report the members of the control group.
+
+        :param read: returns their number by kind, none where nobody leads
+        """
+        self._meter.create_observable_gauge(
+            "goldcrestproxy.control.members",
+            callbacks=[
+                lambda _: [
+                    api.Observation(count, {"kind": kind})
+                    for kind, count in read().items()
+                ]
+            ],
+            description="Members of the control group: voters and learners.",
+        )
+
     def collect(self) -> export.MetricsData | None:
         """Return the current values of all metrics, None if there are none."""
         data: export.MetricsData | None = self._reader.get_metrics_data()
--- a/tests/control/replicas.py
+++ b/tests/control/replicas.py
@@ -14,6 +14,7 @@
 from goldcrestproxy.control import follower
 from goldcrestproxy.control import leadership
 from goldcrestproxy.control import membership
+from goldcrestproxy.control import membership_manager
 from goldcrestproxy.control import registrar
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy.control import replication
@@ -102,6 +103,7 @@
         self.follower = follower.Follower(self.replica, self.election)
         self.handlers = wire.Handlers()
         self.replication: replication.Replication | None = None
+        self.manager: membership_manager.MembershipManager | None = None
         self.service = control.ControlService(self.replica, TIMEOUTS, ())
         self.service.add_handlers(self.handlers)
         self.running = True
@@ -113,13 +115,23 @@
         try:
             while True:
                 if self.replica.is_leader:
-                    self.replication = replication.Replication(self.replica)
-                    await self.replication.run()
+                    await self._lead()
                 else:
                     await self.replica.wait_change()
         finally:
             electing.cancel()
 
+    async def _lead(self) -> None:
+        self.replication = replication.Replication(self.replica)
+        self.manager = membership_manager.MembershipManager(
+            self.replica, self.replication, remove_silent=False
+        )
+        managing = asyncio.create_task(self.manager.run())
+        try:
+            await self.replication.run()
+        finally:
+            managing.cancel()
+
     async def stop(self) -> None:
         self.running = False
         self._task.cancel()
--- a/tests/control/test_formation.py
+++ b/tests/control/test_formation.py
@@ -10,7 +10,7 @@
 import replicas
 
 from goldcrestproxy import control
-from goldcrestproxy.control import formation
+from goldcrestproxy.control import membership_plan
 from goldcrestproxy import errors
 from goldcrestproxy import registry
 from goldcrestproxy import settings
@@ -154,7 +154,7 @@
 
 
 def test_a_new_host_replaces_a_silent_voter(monkeypatch):
-    monkeypatch.setattr(formation, "SILENT_VOTER_S", 0.3)
+    monkeypatch.setattr(membership_plan, "SILENT_VOTER_S", 0.3)
 
     async def scenario():
         async with hosts() as network:
@@ -168,6 +168,82 @@
     asyncio.run(scenario())
 
 
+def leader_of(network):
+    """Return the host that leads, None while there is none."""
+    for host in network.nodes.values():
+        if host.running and host.replica.is_leader:
+            return host
+    return None
+
+
+async def unreachable(*_):
+    raise errors.ChannelClosedError("unreachable")
+
+
+def test_a_learner_gets_its_vote_from_the_next_leader():
+    """Guards against additions that end with the leader that began them."""
+
+    async def scenario():
+        async with hosts() as network:
+            await wait_until(lambda: voters(network) == identities(network))
+            new = Host(network, 5, first_start=False)
+            calls = new.handlers.calls
+            append = calls[wire.Method.APPEND]
+            # It cannot catch up while its first leader lives.
+            calls[wire.Method.APPEND] = unreachable
+            await wait_until(
+                lambda: all(
+                    host is new
+                    or host.replica.state.members.find(new.replica.replica)
+                    for host in network.nodes.values()
+                )
+            )
+            old_leader = leader_of(network)
+            await old_leader.stop()
+            calls[wire.Method.APPEND] = append
+            Host(
+                network,
+                int(old_leader.replica.host.removeprefix("host-")),
+                first_start=False,
+                folder=old_leader.folder,
+            )
+            await wait_until(lambda: voters(network) == identities(network))
+            assert len(voters(network)) == 6
+
+    asyncio.run(scenario())
+
+
+def test_a_lost_disk_leaves_no_vote_when_its_leader_ends():
+    """The last step of an addition is done by whoever leads then."""
+
+    async def scenario():
+        async with hosts() as network:
+            await wait_until(lambda: voters(network) == identities(network))
+            leader = leader_of(network)
+            lost = next(
+                host for host in network.nodes.values() if host is not leader
+            )
+            await lost.stop()
+            folder = LossyFolder()
+            identity = storage.ReplicaStore(folder).replica
+            number = int(lost.replica.host.removeprefix("host-"))
+            # All that a leader did which ended before the last step.
+            await leader.replica.propose(
+                leader.replica.members.with_member(
+                    control.Member(
+                        replica=identity,
+                        host=lost.replica.host,
+                        address="127.0.0.1",
+                        peer_port=number,
+                    )
+                )
+            )
+            Host(network, number, first_start=False, folder=folder)
+            await wait_until(lambda: voters(network) == identities(network))
+
+    asyncio.run(scenario())
+
+
 def test_an_interrupted_bootstrap_is_resumed():
     async def scenario():
         network = replicas.Network()
@@ -177,9 +253,6 @@
         calls = network.nodes[2].handlers.calls
         found = calls[wire.Method.FOUND]
 
-        async def unreachable(*_):
-            raise errors.ChannelClosedError("unreachable")
-
         calls[wire.Method.FOUND] = unreachable
         await wait_until(lambda: first.replica.log.last_index >= 1)
         await first.stop()
--- a/tests/control/test_large_logs.py
+++ b/tests/control/test_large_logs.py
@@ -12,7 +12,6 @@
 from goldcrestproxy import control
 from goldcrestproxy.control import codec
 from goldcrestproxy.control import feed
-from goldcrestproxy.control import membership
 from goldcrestproxy.control import replica as replica_module
 from goldcrestproxy.control import replication
 from goldcrestproxy import errors
@@ -71,11 +70,8 @@
     lost = next(n for n in group.nodes if n.running and n is not leader)
     await lost.stop()
     new = group.start(lost.number)
-    await membership.add_member(
-        leader.replica,
-        leader.replication,
-        group.control_host(lost.number),
-        catch_up_timeout_s=10,
+    await leader.manager.add_member(
+        group.control_host(lost.number), timeout_s=10
     )
     await group.wait_applied(leader.replica.state.applied_index)
     return new
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -221,11 +221,7 @@
             lost = next(n for n in group.nodes if n is not leader)
             await lost.stop()
             repaired = group.start(lost.number)
-            await membership.add_member(
-                leader.replica,
-                leader.replication,
-                group.control_host(lost.number),
-            )
+            await leader.manager.add_member(group.control_host(lost.number))
             hosts = [m.host for m in leader.replica.members.members]
             assert sorted(hosts) == ["host-0", "host-1", "host-2"]
             await leader.stop()
@@ -246,11 +242,7 @@
             lost = next(n for n in group.nodes if n is not leader)
             await lost.stop()
             group.start(lost.number)
-            await membership.add_member(
-                leader.replica,
-                leader.replication,
-                group.control_host(lost.number),
-            )
+            await leader.manager.add_member(group.control_host(lost.number))
             await group.wait_applied(leader.replica.state.applied_index)
             assert len(set(encoded_states(group))) == 1
 
