Remove silent voters that the group does not need to bear its losses

Cause: a silent voter was removed only while the number of voters was even. Two successors that joined first made seven, and seven is odd, so the two that were gone counted for good.

Change: a group needs 2f + 1 voters to bear f losses, and f is in the settings. Silent voters beyond that are removed, the one that was silent for longest first; hosts without successors stay, so that no cut decides who is in the group. Hosts that return after their successors joined get their vote back.

--- a/src/goldcrestproxy/control/leadership.py
+++ b/src/goldcrestproxy/control/leadership.py
@@ -50,6 +50,8 @@
         feeder: feed.Feeder,
         registrar_settings: registrars.RegistrarSettings | None = None,
         directory: entry_directory.EntryDirectory | None = None,
+        *,
+        losses_tolerated: int | None = None,
     ) -> None:
         """Bind to a replica that has just won an election.
 
@@ -57,13 +59,15 @@
         :param registrar_settings: None where targets are coordinated and do
             not register themselves
         :param directory: the entry hosts that this control host knows
+        :param losses_tolerated: number of control hosts that may be lost at
+            once; None where operators replace them
         """
         self._replica = replica
         self._directory = directory or entry_directory.EntryDirectory()
         self.membership_manager = membership_manager.MembershipManager(
             replica,
             replication,
-            remove_silent=registrar_settings is not None,
+            losses_tolerated=losses_tolerated,
         )
         self.registrar = (
             registrars.Registrar(
--- a/src/goldcrestproxy/control/membership_manager.py
+++ b/src/goldcrestproxy/control/membership_manager.py
@@ -32,15 +32,16 @@
         replica: replicas.Replica,
         replication: replications.Replication,
         *,
-        remove_silent: bool = True,
+        losses_tolerated: int | None = None,
     ) -> None:
         """Bind to the leader's replication.
 
-        :param remove_silent: False where operators remove hosts
+        :param losses_tolerated: number of hosts that may be lost at once;
+            None where operators remove silent hosts
         """
         self._replica = replica
         self._replication = replication
-        self._remove_silent = remove_silent
+        self._losses_tolerated = losses_tolerated
         self._change_lock = asyncio.Lock()
         self._join_tasks: dict[str, asyncio.Task[None]] = {}
         self._learners_logged_s = replica.clock()
@@ -158,7 +159,9 @@
         """Commit the next change that is needed; return whether one was."""
         members = self._replica.members
         change = membership_plan.next_change(
-            members, self._observations(), remove_silent=self._remove_silent
+            members,
+            self._observations(),
+            losses_tolerated=self._losses_tolerated,
         )
         if change is None:
             return False
--- a/src/goldcrestproxy/control/membership_plan.py
+++ b/src/goldcrestproxy/control/membership_plan.py
@@ -18,6 +18,8 @@
 SILENT_VOTER_S: ty.Final = 2.5
 # A learner may be silent for longer while it installs a snapshot.
 SILENT_LEARNER_S: ty.Final = 10.0
+# Silent voters never make a group smaller, whatever it has to tolerate.
+VOTERS_MIN: ty.Final = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -57,11 +59,15 @@
 
 
 def next_change(
-    members: groups.Members, observations: Observations, *, remove_silent: bool
+    members: groups.Members,
+    observations: Observations,
+    *,
+    losses_tolerated: int | None,
 ) -> Change | None:
     """Return the next change to commit, None if there is none.
 
-    :param remove_silent: False where operators remove hosts
+    :param losses_tolerated: number of hosts that the group has to lose at
+        once without harm; None where operators remove silent hosts
     """
     replaced = _replaced(members)
     if replaced is not None:
@@ -73,11 +79,11 @@
             and _silent_s(member, observations) <= SILENT_VOTER_S
         ):
             return Promote(learner=member)
-    if not remove_silent:
+    if losses_tolerated is None:
         return None
-    silent = _removable_voter(members, observations) or _silent_learner(
-        members, observations
-    )
+    silent = _spare_voter(
+        members, observations, losses_tolerated
+    ) or _silent_learner(members, observations)
     return RemoveSilent(member=silent) if silent is not None else None
 
 
@@ -104,15 +110,18 @@
     return None
 
 
-def _removable_voter(
-    members: groups.Members, observations: Observations
+def _spare_voter(
+    members: groups.Members, observations: Observations, losses_tolerated: int
 ) -> groups.Member | None:
     """Return the voter that has been silent for longest, if one is spare.
 
-    An even group tolerates no more losses than one with a voter less.
+    An even group tolerates no more losses than one with a voter less. In a
+    group that is larger than needed, a silent voter is one that others have
+    replaced; it would only raise the majority.
     """
     voters = members.voters()
-    if len(voters) % 2 == 1:
+    voters_needed = max(2 * losses_tolerated + 1, VOTERS_MIN)
+    if len(voters) % 2 == 1 and len(voters) <= voters_needed:
         return None
     return _longest_silent(voters, observations, SILENT_VOTER_S)
 
--- a/src/goldcrestproxy/control/service.py
+++ b/src/goldcrestproxy/control/service.py
@@ -136,6 +136,11 @@
             self._feeder,
             self._registrar_settings,
             self._directory,
+            losses_tolerated=(
+                self._losses_tolerated
+                if self._formation_settings is not None
+                else None
+            ),
         )
         try:
             await self._leadership.run()
--- a/tests/control/replicas.py
+++ b/tests/control/replicas.py
@@ -124,7 +124,7 @@
     async def _lead(self) -> None:
         self.replication = replication.Replication(self.replica)
         self.manager = membership_manager.MembershipManager(
-            self.replica, self.replication, remove_silent=False
+            self.replica, self.replication
         )
         managing = asyncio.create_task(self.manager.run())
         try:
--- a/tests/control/test_formation.py
+++ b/tests/control/test_formation.py
@@ -168,6 +168,60 @@
     asyncio.run(scenario())
 
 
+def test_two_hosts_that_are_replaced_at_once_leave_no_vote(monkeypatch):
+    """Guards against groups that count voters that are gone for good."""
+    monkeypatch.setattr(membership_plan, "SILENT_VOTER_S", 0.3)
+
+    async def scenario():
+        async with hosts() as network:
+            await wait_until(lambda: voters(network) == identities(network))
+            for number in (5, 6):
+                Host(network, number, first_start=False)
+            await wait_until(lambda: voters(network) == identities(network))
+            for number in (3, 4):
+                await network.nodes[number].stop()
+            await wait_until(lambda: voters(network) == identities(network))
+            assert len(voters(network)) == 5
+            # Two lost disks are what five hosts have to bear.
+            for number in (0, 6):
+                await network.nodes[number].stop()
+            for number in (0, 6):
+                Host(network, number, first_start=False)
+            await wait_until(lambda: voters(network) == identities(network))
+
+    asyncio.run(scenario())
+
+
+def test_hosts_that_were_cut_off_return_after_their_successors(monkeypatch):
+    """Guards against a cut that decides who is in the group."""
+    monkeypatch.setattr(membership_plan, "SILENT_VOTER_S", 0.3)
+
+    async def scenario():
+        async with hosts() as network:
+            await wait_until(lambda: voters(network) == identities(network))
+            leader = leader_of(network)
+            cut = [h for h in network.nodes if network.nodes[h] is not leader][
+                :2
+            ]
+            for number in cut:
+                network.isolate(number)
+            await asyncio.sleep(1.0)
+            assert len(leader.replica.state.members.voters()) == 5
+            for number in (5, 6):
+                Host(network, number, first_start=False)
+            await wait_until(
+                lambda: (
+                    {m.host for m in leader.replica.state.members.voters()}
+                    == {f"host-{n}" for n in network.nodes if n not in cut}
+                )
+            )
+            network.heal()
+            await wait_until(lambda: voters(network) == identities(network))
+            assert len(voters(network)) == 7
+
+    asyncio.run(scenario())
+
+
 def leader_of(network):
     """Return the host that leads, None while there is none."""
     for host in network.nodes.values():
