Change no members before the leader's term is established

Cause: a join request that reached a leader before an entry of its own term was committed changed the members at once. A change by an earlier leader, unknown to it, could still be committed then, by a majority that does not overlap with its own (Raft's known condition on changes of one member).

Change: the addition is refused until the term is established; the host asks again a moment later. The other changes already waited for the leader's lease.

Measured: test_members_do_not_change_before_the_term_is_established failed before and passes.

--- a/src/goldcrestproxy/control/membership_manager.py
+++ b/src/goldcrestproxy/control/membership_manager.py
@@ -153,6 +153,13 @@
         """
         member = await membership.resolve_member(self._replica, host)
         async with self._change_lock:
+            # A change by an earlier leader may still be committed until then.
+            if not self._replication.established:
+                raise results.refusal(
+                    results.MEMBERSHIP_REFUSED,
+                    "the leader's term is not established yet; repeat in a "
+                    "moment",
+                )
             return await membership.add_learner(self._replica, member)
 
     async def _apply_next_change(self) -> bool:
--- a/tests/control/test_membership_manager.py
+++ b/tests/control/test_membership_manager.py
@@ -73,6 +73,37 @@
         return True
 
 
+JOIN = wire.ttypes.JoinRequest(
+    host="host-new", address="127.0.0.1", peer_port=2, replica="new"
+)
+
+
+async def settle():
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def test_members_do_not_change_before_the_term_is_established():
+    """Guards against two overlapping changes by successive leaders."""
+
+    async def scenario():
+        replica = FakeReplica(
+            control.Members(members=tuple(map(member, "abc")))
+        )
+        replication = FakeReplication(established=False)
+        manager = membership_manager.MembershipManager(replica, replication)
+        manager.join(JOIN)
+        await settle()
+        assert not replica.proposed
+        replication.established = True
+        manager.join(JOIN)
+        await settle()
+        assert [m.replica for m in replica.members.members] == [*"abc", "new"]
+        assert not replica.members.is_voter("new")
+
+    asyncio.run(scenario())
+
+
 def test_a_learner_of_an_earlier_leader_gets_its_vote():
     """Guards against additions that end with the leader that began them."""
 
