Date target reports by the log, so that every leader knows late ones

Cause: the last sequence number that was served lived in the leader's memory, so its successor believed what came first.

Change: the entries that give keys or register a target name the report that they answer, and a report up to that number is out of date for every leader. A target tells of a release until it is acknowledged, so the grant by which it holds the keys again answers that report or a later one. Releases that are not late are taken at once, as before. Earlier builds ignore the new field, and without it a leader does what it did.

--- a/src/goldcrestproxy/control/registrar.py
+++ b/src/goldcrestproxy/control/registrar.py
@@ -10,6 +10,9 @@
   no other leader can exist.
 - A new leader assumes that every owner received a full hold immediately
   before the term began.
+- The entry of a grant names the heartbeat that it answers. A later leader
+  takes no heartbeat up to that one: it may report releases of ranges that
+  were granted again since.
 - A range changes owner only after a release, after the end of the owner's
   process (a newer incarnation registers), or after the hold expires.
 - While a command about a target is not applied yet, nothing else is decided
@@ -349,10 +352,13 @@
                 now_s - view.last_heartbeat_s if view is not None else 0.0
             )
             return silent_s < OLDER_INCARNATION_SILENCE_S
-        if heartbeat.incarnation > registered.incarnation or view is None:
+        if heartbeat.incarnation > registered.incarnation:
             return False
+        if heartbeat.sequence <= registered.sequence:
+            return True
         return (
-            view.incarnation == heartbeat.incarnation
+            view is not None
+            and view.incarnation == heartbeat.incarnation
             and heartbeat.sequence <= view.sequence
         )
 
@@ -402,6 +408,7 @@
             slots=heartbeat.slots,
             leaving=heartbeat.leaving or already_leaving,
             cold_ms=heartbeat.cold_ms,
+            sequence=heartbeat.sequence,
         )
         cold_until_s = received_s + heartbeat.cold_ms / 1000
         colder = (
@@ -570,6 +577,7 @@
                 target=heartbeat.target,
                 incarnation=heartbeat.incarnation,
                 first_keys=tuple(taken),
+                sequence=heartbeat.sequence,
             )
         )
         LOG.info(
--- a/src/goldcrestproxy/registry/commands.py
+++ b/src/goldcrestproxy/registry/commands.py
@@ -37,6 +37,8 @@
     slots: int
     leaving: bool
     cold_ms: int
+    # Sequence number of the heartbeat that said so, -1 if none did.
+    sequence: int = -1
 
 
 @attrs.frozen(kw_only=True)
@@ -91,6 +93,8 @@
     target: str
     incarnation: int
     first_keys: tuple[int, ...]
+    # Sequence number of the heartbeat that is answered with the blocks.
+    sequence: int = -1
 
 
 @attrs.frozen(kw_only=True)
--- a/src/goldcrestproxy/registry/state.py
+++ b/src/goldcrestproxy/registry/state.py
@@ -43,6 +43,9 @@
     # Remaining cold time when the log entry ``cold_index`` was applied.
     cold_ms: int = 0
     cold_index: int = 0
+    # Highest sequence number of a heartbeat of this incarnation that the log
+    # tells of. Heartbeats up to it are out of date for every later leader.
+    sequence: int = -1
 
     @property
     def usable(self) -> bool:
@@ -209,6 +212,9 @@
             # The earlier process has ended and no longer holds any keys.
             self._free_all(existing)
         self._remove_predecessors(command)
+        sequence = command.sequence
+        if existing and existing.incarnation == command.incarnation:
+            sequence = max(sequence, existing.sequence)
         self.targets[command.target] = RegisteredTarget(
             target=command.target,
             incarnation=command.incarnation,
@@ -219,6 +225,7 @@
             leaving=command.leaving,
             cold_ms=command.cold_ms,
             cold_index=index,
+            sequence=sequence,
         )
         self.revision += 1
         if command.leaving:
@@ -309,6 +316,7 @@
             return
         if target.incarnation != command.incarnation or target.lost:
             return
+        target.sequence = max(target.sequence, command.sequence)
         for first_key in command.first_keys:
             space.assign(first_key, command.target, index)
 
--- a/tests/control/simulated_targets.py
+++ b/tests/control/simulated_targets.py
@@ -96,6 +96,7 @@
     seen_tokens: dict[int, int] = attrs.field(factory=dict)
     leaving: bool = False
     cold_ms: int = 0
+    zone: str = "zone-a"
 
     def heartbeat(self, now_s):
         self.expire(now_s)
@@ -104,7 +105,7 @@
             target=self.name,
             incarnation=self.incarnation,
             service="desk",
-            zone="zone-a",
+            zone=self.zone,
             address=self.address,
             slots=4,
             leaving=self.leaving,
