Log and count what hosts send to cold targets

A host logs when it learns of a cold time, the line of each request has the rest of the target's cold time at each attempt, and a metric counts requests for cold targets that were sent or refused. So a flood by hosts that knew of the cold time can be told from one by hosts that did not, and the number of hosts that each goes by is seen. No decision is changed.

--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -29,6 +29,8 @@
     asked_hosts: list[str] = attrs.field(factory=list)
     # Time that each attempt waited for its connection.
     connects_ms: list[int] = attrs.field(factory=list)
+    # Rest of the target's cold time when each attempt was sent, 0 if warm.
+    cold_left_ms: list[int] = attrs.field(factory=list)
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
     # Whether an attempt was sent whose outcome is not known yet.
     awaiting_answer: bool = False
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -371,6 +371,12 @@
     ) -> fleet_request.FleetAnswer:
         def sent(connect_s: float) -> None:
             state.connects_ms.append(round(connect_s * 1000))
+            cold_left_ms = self._fleet.cold_left_ms(target)
+            state.cold_left_ms.append(cold_left_ms)
+            if cold_left_ms:
+                self._metrics.cold_requests.add(
+                    1, {"service": state.service, "outcome": "sent"}
+                )
             if state.sent_to:
                 kind = type(state.failures[-1]).__name__
                 self._metrics.retries.add(1, {"reason": kind})
@@ -458,6 +464,7 @@
             asked_hosts=state.asked_hosts,
             passed_on=state.request.passed_on,
             connects_ms=state.connects_ms,
+            cold_left_ms=state.cold_left_ms,
             failures=[str(failure) for failure in state.failures],
             outcome=outcome,
             ms=round((self._clock() - started_s) * 1000, 1),
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -22,6 +22,7 @@
 from goldcrestproxy.routing import route_table
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy.routing import target_room
+from goldcrestproxy import telemetry
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -318,6 +319,11 @@
         """Whether a target is still in its cold period."""
         return self._clock() < target.cold_until_s
 
+    def cold_left_ms(self, target: TrackedTarget) -> int:
+        """Return the rest of a target's cold period, 0 if it is warm."""
+        left_s = target.cold_until_s - self._clock()
+        return max(0, math.ceil(left_s * 1000))
+
     def _apply_limits(self, limits: list[wire.ttypes.TargetLimit]) -> None:
         """Store the limits that all hosts together know."""
         now_s = self._clock()
@@ -416,4 +422,21 @@
         if record.cold_index != tracked.cold_index:
             tracked.cold_index = record.cold_index
             tracked.cold_until_s = now_s + record.cold_ms / 1000
+            if record.cold_ms:
+                self._log_cold(tracked)
         return tracked
+
+    def _log_cold(self, tracked: TrackedTarget) -> None:
+        telemetry.log_event(
+            LOG,
+            "entries: a target is cold",
+            target=tracked.name,
+            incarnation=tracked.record.incarnation,
+            service=tracked.record.service,
+            zone=tracked.record.zone,
+            cold_ms=tracked.record.cold_ms,
+            cold_index=tracked.cold_index,
+            tokens=round(tracked.rate.tokens, 3),
+            entry_hosts=self.entry_hosts,
+            **self.describe_copy(),
+        )
--- a/src/goldcrestproxy/entries/target_limits.py
+++ b/src/goldcrestproxy/entries/target_limits.py
@@ -51,6 +51,9 @@
             self._clock(), service.cold_requests_per_s, self._fleet.entry_hosts
         ):
             return
+        self._metrics.cold_requests.add(
+            1, {"service": state.service, "outcome": "refused"}
+        )
         raise self._refusals.not_run(
             state,
             results.OVERLOADED,
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -53,6 +53,11 @@
             "goldcrestproxy.beyond_limits",
             description="Requests refused for the limit that a target named.",
         )
+        self.cold_requests = meter.create_counter(
+            "goldcrestproxy.cold_requests",
+            description="Requests for cold targets, by service and outcome: "
+            "sent or refused.",
+        )
         self.crowds = meter.create_counter(
             "goldcrestproxy.crowds",
             description="Callers that made room for others, by outcome: "
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -158,6 +158,9 @@
     def is_cold(self, _target):
         return self.cold
 
+    def cold_left_ms(self, _target):
+        return 1000 if self.cold else 0
+
     def count_request(self, _service, _key):
         pass
 
