Let the leader permit each request to a cold target

What callers saw: failures of targets that fell over when a zone was taken back.

Cause: each entry host had a bucket of one token for each target, filled with its share of the cold rate, also while the target was warm. A target that turned cold after that got a request from each host at once.

The sum no longer depends on the number of hosts or on what they saved up. Hosts without an answer have slots that do not add up, together for half of the rate. What is permitted is checked again right before the first byte is sent. A denied target of a pool leaves the request to another one.

The test of the limiter with 8 hosts used an interface that is gone; its successor keeps the bound and asks for a part that is served, too. PermitRequest and PermitReply have a new optional field. Older leaders do not set it in their answers, and hosts go by their slots then.

--- a/src/goldcrestproxy/control/limit_reports.py
+++ b/src/goldcrestproxy/control/limit_reports.py
@@ -4,6 +4,7 @@
 
 from goldcrestproxy.control import replica as replicas
 from goldcrestproxy import registry
+from goldcrestproxy.routing import cold_rate
 from goldcrestproxy.routing import named_limits
 from goldcrestproxy import wire
 
@@ -15,6 +16,7 @@
         """Start without limits."""
         self._replica = replica
         self._limits = named_limits.NamedLimits(started_s=replica.clock())
+        self._cold_permits = cold_rate.ColdPermits(started_s=replica.clock())
 
     @property
     def _targets(self) -> dict[str, registry.RegisteredTarget]:
@@ -42,14 +44,17 @@
 
         :param hosts: entry hosts that share the limit
         """
-        retry_after_ms = self._limits.take_permit(
+        limits = self._cold_permits if request.cold else self._limits
+        retry_after_ms = limits.take_permit(
             request.target,
             request.incarnation,
             request.limit_per_s,
             self._replica.clock(),
             hosts,
         )
-        return wire.ttypes.PermitReply(retry_after_ms=retry_after_ms)
+        return wire.ttypes.PermitReply(
+            retry_after_ms=retry_after_ms, cold=request.cold
+        )
 
     def reply(self) -> list[wire.ttypes.TargetLimit]:
         """Return the limits of the registered targets for entry hosts."""
--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from goldcrestproxy.entries import fleet_request
@@ -32,6 +34,8 @@
     # Rest of the target's cold time when each attempt was sent, 0 if warm.
     cold_left_ms: list[int] = attrs.field(factory=list)
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
+    # Until when the next attempt may be sent to a target that is cold.
+    permitted_until_s: float = -math.inf
     # Whether an attempt was sent whose outcome is not known yet.
     awaiting_answer: bool = False
     # Whether it is counted in its customer's quota.
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -408,6 +408,8 @@
             now_s, keyed=keyed
         ):
             return False
+        if self._fleet.is_cold(target) and now_s > state.permitted_until_s:
+            return False
         return target.rest.take(now_s, target.stats.overdue_ms(now_s) / 1000)
 
     def _mark_if_misdirected(
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -134,8 +134,9 @@
         # By fingerprint. Each request reads it; looking through all suspects
         # takes too long for that.
         self._quarantines: dict[str, Quarantine] = {}
-        # No request waits for a permit again until then, whatever its target.
-        self._permits_fail_until_s = 0.0
+        # No request waits for a permit again until then, whatever its target;
+        # permits for cold targets apart.
+        self._permits_fail_until_s = {False: 0.0, True: 0.0}
         watcher.add_listener(self._refresh)
         watcher.add_listener(self._refresh_quarantine)
         watcher.add_limit_listener(self._apply_limits)
@@ -202,30 +203,58 @@
         limit_per_s = limit.limit_per_s
         if limit_per_s is None:
             return True
-        retry_after_ms = self._permits_fail_for_ms()
-        if not retry_after_ms:
-            try:
-                retry_after_ms = await self._watcher.ask_permit(
-                    target.name, target.record.incarnation, limit_per_s
-                )
-            except (errors.WireError, errors.RefusedError) as error:
-                LOG.info("entries: no permit for %s: %s", target.name, error)
-                retry_after_ms = request_limits.PERMIT_FAILURE_MS
-                self._permits_fail_until_s = (
-                    self._clock() + retry_after_ms / 1000
-                )
+        retry_after_ms = await self._ask_leader(
+            target, limit_per_s, cold=False
+        )
+        if retry_after_ms is None:
+            retry_after_ms = max(1, self._permits_fail_for_ms(cold=False))
         if retry_after_ms:
             limit.record_denial(retry_after_ms, self._clock())
         return not retry_after_ms
 
+    async def ask_cold_permit(self, target: TrackedTarget) -> bool:
+        """Ask the leader whether a cold target may get a request from here.
+
+        Without an answer, the slots of this host decide.
+        """
+        service = self.services.get(target.record.service)
+        rate_per_s = service.cold_requests_per_s if service else 0.0
+        retry_after_ms = await self._ask_leader(target, rate_per_s, cold=True)
+        now_s = self._clock()
+        if retry_after_ms is None:
+            return target.rate.take_slot(now_s, rate_per_s, self.entry_hosts)
+        if retry_after_ms:
+            target.rate.record_denial(retry_after_ms, now_s)
+        return not retry_after_ms
+
+    async def _ask_leader(
+        self, target: TrackedTarget, limit_per_s: float, *, cold: bool
+    ) -> int | None:
+        """Ask for a permit; return 0 or when to ask again, in milliseconds.
+
+        Returns None without an answer, now or a moment ago.
+        """
+        if self._permits_fail_for_ms(cold=cold):
+            return None
+        try:
+            return await self._watcher.ask_permit(
+                target.name, target.record.incarnation, limit_per_s, cold=cold
+            )
+        except (errors.WireError, errors.RefusedError) as error:
+            LOG.info("entries: no permit for %s: %s", target.name, error)
+            self._permits_fail_until_s[cold] = (
+                self._clock() + request_limits.PERMIT_FAILURE_MS / 1000
+            )
+            return None
+
     async def ask_quota(
         self, request: wire.ttypes.QuotaRequest, timeout_s: float
     ) -> wire.ttypes.QuotaReply:
         """Ask the leader for tokens; see ``StateWatcher.ask_quota``."""
         return await self._watcher.ask_quota(request, timeout_s)
 
-    def _permits_fail_for_ms(self) -> int:
-        left_s = self._permits_fail_until_s - self._clock()
+    def _permits_fail_for_ms(self, *, cold: bool) -> int:
+        left_s = self._permits_fail_until_s[cold] - self._clock()
         return max(0, math.ceil(left_s * 1000))
 
     def available_targets(self, service: str) -> list[TrackedTarget]:
@@ -410,9 +439,7 @@
             tracked = TrackedTarget(
                 record=record,
                 stats=target_choice.TargetStats(slots=max(1, record.slots)),
-                rate=cold_rate.ColdRateLimiter(
-                    tokens=self._rng.random(), refilled_s=now_s
-                ),
+                rate=cold_rate.ColdRateLimiter(phase=self._rng.random()),
                 request_limit=request_limits.RequestLimit(
                     tokens=self._rng.random()
                 ),
@@ -423,6 +450,7 @@
             tracked.cold_index = record.cold_index
             tracked.cold_until_s = now_s + record.cold_ms / 1000
             if record.cold_ms:
+                tracked.rate.start(now_s, self._rng.random())
                 self._log_cold(tracked)
         return tracked
 
@@ -436,7 +464,6 @@
             zone=tracked.record.zone,
             cold_ms=tracked.record.cold_ms,
             cold_index=tracked.cold_index,
-            tokens=round(tracked.rate.tokens, 3),
             entry_hosts=self.entry_hosts,
             **self.describe_copy(),
         )
--- a/src/goldcrestproxy/entries/state_watcher.py
+++ b/src/goldcrestproxy/entries/state_watcher.py
@@ -16,6 +16,7 @@
 from goldcrestproxy.control import observations
 from goldcrestproxy.entries import state_copy
 from goldcrestproxy import errors
+from goldcrestproxy import results
 from goldcrestproxy.routing import copy_age
 from goldcrestproxy import signals
 from goldcrestproxy import wire
@@ -116,20 +117,27 @@
         self._neighbour_listeners.append(callback)
 
     async def ask_permit(
-        self, target: str, incarnation: int, limit_per_s: float
+        self,
+        target: str,
+        incarnation: int,
+        limit_per_s: float,
+        *,
+        cold: bool = False,
     ) -> int:
         """Ask the leader whether a request may be sent to a target.
 
         :param limit_per_s: the limit of the target as known here
+        :param cold: whether that is what the target bears while it is cold
         :return: 0 if it may, else milliseconds until the next question
         :raises WireError: without an answer in time
-        :raises RefusedError: without a leader
+        :raises RefusedError: without a leader that gives such permits
         """
         request = wire.ttypes.PermitRequest(
             target=target,
             incarnation=incarnation,
             limit_per_s=limit_per_s,
             forwarded=False,
+            cold=cold or None,
         )
         try:
             async with asyncio.timeout(PERMIT_TIMEOUT_MS / 1000):
@@ -143,6 +151,11 @@
             raise errors.PeerTimeoutError(
                 f"{self._address} was not reached in {PERMIT_TIMEOUT_MS} ms"
             ) from error
+        if cold and not reply.cold:
+            raise results.refusal(
+                results.NO_LEADER,
+                "the leader's build gives no permits for cold targets",
+            )
         return reply.retry_after_ms
 
     async def ask_quota(
--- a/src/goldcrestproxy/entries/target_limits.py
+++ b/src/goldcrestproxy/entries/target_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as ty
 
 from goldcrestproxy.entries import dispatch_refusals
@@ -10,6 +11,7 @@
 from goldcrestproxy.entries import fleet_map
 from goldcrestproxy.entries import suspects
 from goldcrestproxy import results
+from goldcrestproxy.routing import cold_rate
 from goldcrestproxy.routing import fleet_retries
 from goldcrestproxy import telemetry
 
@@ -42,13 +44,10 @@
     ) -> None:
         """Refuse a request that a cold target does not take yet.
 
-        :raises RefusedError: when this host's part of its rate is used up
+        :raises RefusedError: when the leader has denied a permit a moment ago
         """
-        service = self._fleet.services.get(state.service)
-        if service is None or not self._fleet.is_cold(target):
-            return
-        if target.rate.take(
-            self._clock(), service.cold_requests_per_s, self._fleet.entry_hosts
+        if not self._fleet.is_cold(target) or target.rate.has_room(
+            self._clock()
         ):
             return
         self._metrics.cold_requests.add(
@@ -61,6 +60,26 @@
             dispatch_refusals.SHED_RETRY_AFTER_MS,
         )
 
+    async def take_from_cold_rate(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> bool:
+        """Count a request in a cold target's rate; return whether it may go.
+
+        :raises RefusedError: without an answer by the deadline, or if the
+            request was quarantined in the meantime
+        """
+        state.permitted_until_s = -math.inf
+        if not self._fleet.is_cold(target):
+            return True
+        asked_s = self._clock()
+        permitted = await self._await_permit(
+            state, target, self._fleet.ask_cold_permit(target)
+        )
+        state.permitted_until_s = asked_s + cold_rate.VALID_S
+        return permitted
+
     async def take_from_limit(
         self,
         state: dispatch_state.DispatchState,
@@ -74,10 +93,25 @@
         limit, hosts = target.request_limit, self._fleet.entry_hosts
         if not limit.needs_permit(self._clock(), hosts):
             return limit.take(self._clock(), hosts)
+        return await self._await_permit(
+            state, target, self._fleet.ask_permit(target)
+        )
+
+    async def _await_permit(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+        question: ty.Awaitable[bool],
+    ) -> bool:
+        """Return the leader's answer about a target that is still suitable.
+
+        :raises RefusedError: without an answer by the deadline, or if the
+            request was quarantined in the meantime
+        """
         left_s = state.deadline_s - self._clock()
         try:
             async with asyncio.timeout(left_s - fleet_retries.TIME_LEFT_MIN_S):
-                permitted = await self._fleet.ask_permit(target)
+                permitted = await question
         except TimeoutError:
             raise self._refusals.not_run(
                 state,
--- a/src/goldcrestproxy/entries/target_selection.py
+++ b/src/goldcrestproxy/entries/target_selection.py
@@ -71,7 +71,9 @@
             self._refuse_if_full(state, target)
             self._limits.refuse_beyond_limit(state, target)
             self._limits.refuse_beyond_cold_rate(state, target)
-            if await self._limits.take_from_limit(state, target):
+            if await self._limits.take_from_limit(
+                state, target
+            ) and await self._limits.take_from_cold_rate(state, target):
                 return target
             # Without a permit the target has no room for a while.
 
@@ -214,6 +216,9 @@
             for target in targets
             if target.has_room(now_s)
             and target.request_limit.has_room(now_s, hosts)
+            and (
+                target.rate.has_room(now_s) or not self._fleet.is_cold(target)
+            )
         ]
 
     def _refuse_if_full(
--- a/src/goldcrestproxy/routing/named_limits.py
+++ b/src/goldcrestproxy/routing/named_limits.py
@@ -2,45 +2,18 @@
 
 from __future__ import annotations
 
-import math
 import typing as ty
 
 import attrs
 
 from goldcrestproxy.routing import demand
+from goldcrestproxy.routing import permits
 from goldcrestproxy.routing import request_limits
 
 # By then the requests of all hosts are in a leader's sum.
 COUNTED_S: ty.Final = 2 * request_limits.OFFERED_WINDOW_S
 # Permits that are not asked for accumulate for this long.
 PERMIT_BURST_S: ty.Final = 1.0
-# Interval at which a host may ask again, per entry host: all hosts together
-# ask for at most 100 permits per second that they do not get.
-PERMIT_INTERVAL_MS_PER_HOST: ty.Final = 10
-
-
-@attrs.define(kw_only=True)
-class PermitBucket:
-    """Requests that the leader permits for a target, a token bucket.
-
-    It starts empty, since an earlier leader may have given permits.
-    """
-
-    refilled_s: float
-    tokens: float = 0.0
-
-    def take(self, limit_per_s: float, now_s: float) -> int:
-        """Take a permit; return 0, or the milliseconds until there is one."""
-        elapsed_s = max(0.0, now_s - self.refilled_s)
-        self.refilled_s = now_s
-        self.tokens = min(
-            max(1.0, limit_per_s * PERMIT_BURST_S),
-            self.tokens + limit_per_s * elapsed_s,
-        )
-        if self.tokens >= 1:
-            self.tokens -= 1
-            return 0
-        return math.ceil((1 - self.tokens) / limit_per_s * 1000)
 
 
 @attrs.define(kw_only=True)
@@ -60,7 +33,9 @@
     _offered: dict[tuple[str, int], demand.DecayingSum] = attrs.field(
         factory=dict
     )
-    _permits: dict[tuple[str, int], PermitBucket] = attrs.field(factory=dict)
+    _permits: dict[tuple[str, int], permits.PermitBucket] = attrs.field(
+        factory=dict
+    )
 
     def record(
         self, target: str, incarnation: int, limit_per_s: float | None
@@ -99,17 +74,11 @@
             return 0
         bucket = self._permits.get(key)
         if bucket is None:
-            bucket = PermitBucket(refilled_s=now_s)
+            bucket = permits.PermitBucket(refilled_s=now_s)
             self._permits[key] = bucket
-        wait_ms = bucket.take(
-            max(request_limits.LIMIT_PER_S_MIN, known_per_s), now_s
-        )
-        if wait_ms == 0:
-            return 0
-        interval_ms = PERMIT_INTERVAL_MS_PER_HOST * hosts
-        return max(
-            interval_ms, min(wait_ms, request_limits.RETRY_AFTER_MS_MAX)
-        )
+        known_per_s = max(request_limits.LIMIT_PER_S_MIN, known_per_s)
+        wait_ms = bucket.take(known_per_s, known_per_s * PERMIT_BURST_S, now_s)
+        return permits.retry_after_ms(wait_ms, hosts)
 
     @property
     def empty(self) -> bool:
--- a/src/goldcrestproxy/wire/goldcrestproxy.thrift
+++ b/src/goldcrestproxy/wire/goldcrestproxy.thrift
@@ -322,11 +322,15 @@
   3: double limit_per_s,
   /** The control host that was asked first is not the leader. */
   4: bool forwarded,
+  /** The limit is what the target bears while it is cold. */
+  5: optional bool cold,
 }
 
 struct PermitReply {
   /** 0 if the request may be sent. */
   1: i32 retry_after_ms,
+  /** Repeats that of the request; not set by earlier builds. */
+  2: optional bool cold,
 }
 
 /** What a host has left of a customer's quota, and what it wants. */
--- a/tests/control/test_limit_reports.py
+++ b/tests/control/test_limit_reports.py
@@ -74,3 +74,38 @@
         )
     )
     assert count_permits(replica, reports, 1.0) == 100
+
+
+def ask_cold(reports, rate_per_s=5.5, hosts=63):
+    request = wire.ttypes.PermitRequest(
+        target="t",
+        incarnation=1,
+        limit_per_s=rate_per_s,
+        forwarded=False,
+        cold=True,
+    )
+    return reports.permit(request, hosts)
+
+
+def test_permits_for_a_cold_target_are_apart_from_its_named_limit(replica):
+    reports = limit_reports.LimitReports(replica)
+    reports.observe(
+        report(
+            wire.ttypes.TargetLimit(target="t", incarnation=1, withdrawn=True)
+        )
+    )
+    replica.now_s += 60.0
+    replies = [ask_cold(reports) for _ in range(10)]
+    assert all(reply.cold for reply in replies)
+    assert sum(reply.retry_after_ms == 0 for reply in replies) == 2
+    assert replies[-1].retry_after_ms == 630
+    assert count_permits(replica, reports, 1.0) == 100
+
+
+def test_hosts_are_told_that_a_permit_is_for_a_warm_target(replica):
+    """A host takes what is not said of a cold target for no answer."""
+    reports = limit_reports.LimitReports(replica)
+    request = wire.ttypes.PermitRequest(
+        target="t", incarnation=1, limit_per_s=5.0, forwarded=False
+    )
+    assert not reports.permit(request, HOSTS).cold
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -98,7 +98,7 @@
         self.target = fleet_map.TrackedTarget(
             record=TARGET,
             stats=target_choice.TargetStats(slots=4),
-            rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+            rate=cold_rate.ColdRateLimiter(phase=0.0),
         )
         self.targets = {"t1": self.target}
         self.cold = False
@@ -110,6 +110,8 @@
         self.cleared = set()
         # Answers to the questions for permits, in order.
         self.permits = []
+        # The same for cold targets.
+        self.cold_permits = [False]
         self.on_ask = lambda: None
 
     async def ask_permit(self, target):
@@ -122,6 +124,13 @@
             target.request_limit.record_denial(300, 1.0)
         return permitted
 
+    async def ask_cold_permit(self, target):
+        await asyncio.sleep(0)
+        permitted = self.cold_permits.pop(0)
+        if not permitted:
+            target.rate.record_denial(300, 1.0)
+        return permitted
+
     def name_small_limit(self):
         """Let the leader and seven other hosts know of a limit."""
         self.entry_hosts = 8
@@ -422,7 +431,7 @@
     other = fleet_map.TrackedTarget(
         record=attrs.evolve(TARGET, target="t2"),
         stats=target_choice.TargetStats(slots=4),
-        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+        rate=cold_rate.ColdRateLimiter(phase=0.0),
     )
     other.request_limit.record_answer(2.0, 1.0)
     fleet.targets["t2"] = other
@@ -459,13 +468,55 @@
     fleet.targets["t2"] = fleet_map.TrackedTarget(
         record=attrs.evolve(TARGET, target="t2", zone="zone-b"),
         stats=target_choice.TargetStats(slots=1, work_ms=400.0),
-        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+        rate=cold_rate.ColdRateLimiter(phase=0.0),
     )
     sender = FakeSender(fleet, [ANSWER])
     assert dispatch(fleet, sender) is ANSWER
     assert sender.targets == ["t2"]
 
 
+def test_request_for_a_cold_target_is_sent_if_the_leader_permits_it():
+    fleet = FakeFleet(UNSAFE)
+    fleet.cold = True
+    fleet.cold_permits = [True]
+    assert dispatch(fleet, FakeSender(fleet, [ANSWER])) is ANSWER
+
+
+def test_cold_target_without_a_permit_leaves_the_request_to_another():
+    fleet = FakeFleet(SAFE)
+    fleet.services["s"] = attrs.evolve(fleet.services["s"], keyed=False)
+    fleet.targets["t2"] = fleet_map.TrackedTarget(
+        record=attrs.evolve(TARGET, target="t2", zone="zone-b"),
+        stats=target_choice.TargetStats(slots=1, work_ms=400.0),
+        rate=cold_rate.ColdRateLimiter(phase=0.0),
+    )
+    fleet.is_cold = lambda target: target.name == "t1"
+    sender = FakeSender(fleet, [ANSWER])
+    assert dispatch(fleet, sender) is ANSWER
+    assert sender.targets == ["t2"]
+
+
+@pytest.mark.parametrize("permitted", [True, False])
+def test_target_that_turns_cold_before_the_sending_needs_a_permit(permitted):
+    fleet = FakeFleet(UNSAFE)
+    fleet.cold_permits = [permitted]
+
+    def turn_cold():
+        fleet.cold = True
+
+    sender = FakeSender(fleet, [ANSWER, ANSWER], on_connect=turn_cold)
+    if permitted:
+        assert dispatch(fleet, sender) is ANSWER
+        assert sender.sent == 1
+        return
+    with pytest.raises(errors.RefusedError) as caught:
+        dispatch(fleet, sender)
+    assert results.BY_CODE[caught.value.code].outcome is (
+        results.Outcome.NOT_RUN
+    )
+    assert sender.sent == 0
+
+
 @pytest.mark.parametrize("awaited_permits", [0, 1])
 def test_no_request_waits_for_a_permit_beyond_its_deadline(awaited_permits):
     fleet = FakeFleet(SAFE)
@@ -496,7 +547,7 @@
     fleet.targets["t2"] = fleet_map.TrackedTarget(
         record=attrs.evolve(TARGET, target="t2"),
         stats=target_choice.TargetStats(slots=4),
-        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+        rate=cold_rate.ColdRateLimiter(phase=0.0),
     )
 
     def move():
@@ -541,7 +592,7 @@
     other = fleet_map.TrackedTarget(
         record=attrs.evolve(TARGET, target="t2", zone="zone-b"),
         stats=target_choice.TargetStats(slots=1, work_ms=400.0),
-        rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+        rate=cold_rate.ColdRateLimiter(phase=0.0),
     )
     fleet.targets["t2"] = other
     sender = FakeSender(fleet, [ANSWER])
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -30,6 +30,17 @@
     source="{}",
 )
 
+WATCHER_SETTINGS = state_watcher.WatcherSettings(
+    host="entry-a",
+    zone="zone-a",
+    session="s",
+    address="10.1.0.1",
+    peer_port=7000,
+    seeds=(wire.PeerAddress("10.0.0.1", 7000),),
+    watch_interval_ms=300,
+    watch_timeout_ms=600,
+)
+
 
 class FakeWatcher:
     """A state watcher whose state the test changes."""
@@ -205,7 +216,7 @@
 ):
     asked = []
 
-    async def ask_permit(target, *_):
+    async def ask_permit(target, *_, cold):
         asked.append(target)
         raise error
 
@@ -236,22 +247,44 @@
         await asyncio.Event().wait()
 
     watcher = state_watcher.StateWatcher(
-        state_watcher.WatcherSettings(
-            host="entry-a",
-            zone="zone-a",
-            session="s",
-            address="10.1.0.1",
-            peer_port=7000,
-            seeds=(wire.PeerAddress("10.0.0.1", 7000),),
-            watch_interval_ms=300,
-            watch_timeout_ms=600,
-        ),
-        peers=types.SimpleNamespace(call=call),
+        WATCHER_SETTINGS, peers=types.SimpleNamespace(call=call)
     )
     with pytest.raises(errors.PeerTimeoutError):
         asyncio.run(watcher.ask_permit("a", 1, 2.0))
 
 
+def test_a_leader_of_an_earlier_build_gives_no_permits_for_cold_targets():
+    """Its answer is about a limit that the target named."""
+
+    async def call(*_):
+        return wire.ttypes.PermitReply(retry_after_ms=0)
+
+    watcher = state_watcher.StateWatcher(
+        WATCHER_SETTINGS, peers=types.SimpleNamespace(call=call)
+    )
+    assert asyncio.run(watcher.ask_permit("a", 1, 2.0)) == 0
+    with pytest.raises(errors.RefusedError):
+        asyncio.run(watcher.ask_permit("a", 1, 2.0, cold=True))
+
+
+def test_a_host_without_a_leader_sends_to_a_cold_target_now_and_then(
+    fleet, watcher, clock
+):
+    async def ask_permit(*_, cold):
+        raise errors.PeerTimeoutError("silent")
+
+    watcher.ask_permit = ask_permit
+    watcher.entry_hosts = 10
+    target = fleet.targets["a"]
+    sent = 0
+    for _ in range(4000):
+        clock.now_s += 0.01
+        if target.rate.has_room(clock.now_s):
+            sent += asyncio.run(fleet.ask_cold_permit(target))
+    # The service's rate of 5 a second, half of it for ten hosts, in 40 s.
+    assert sent in (9, 10, 11)
+
+
 def report_crash(watcher, fingerprint, *, age_s=0.0, crashes_needed=1):
     """Apply a crash whose time on the leader's wall clock is ``age_s`` ago."""
     watcher.apply(
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -94,7 +94,7 @@
                     slots=4,
                 ),
                 stats=target_choice.TargetStats(slots=4),
-                rate=cold_rate.ColdRateLimiter(tokens=0.0, refilled_s=1.0),
+                rate=cold_rate.ColdRateLimiter(phase=0.0),
             )
             sender = entries.Sender(
                 client,
--- a/tests/routing/test_fleet_decisions.py
+++ b/tests/routing/test_fleet_decisions.py
@@ -141,20 +141,48 @@
         )
 
 
+def most_in_a_second(sent_s):
+    return max(sum(s <= t < s + 1 for t in sent_s) for s in sent_s)
+
+
 def test_a_cold_target_gets_its_rate_from_all_hosts_together():
-    rng = random.Random(3)
-    hosts = [
-        cold_rate.ColdRateLimiter(tokens=rng.random(), refilled_s=0.0)
-        for _ in range(8)
-    ]
+    leader = cold_rate.ColdPermits(started_s=-60.0)
     sent = []
     for step in range(3000):
         now_s = step / 1000
-        for host in hosts:
-            if host.take(now_s, 18.0, 8):
+        for _ in range(8):
+            if leader.take_permit("t", 1, 18.0, now_s, 8) == 0:
+                sent.append(now_s)
+    assert most_in_a_second(sent) <= 18 + 8
+    assert len(sent) >= 3 * 18
+
+
+def test_a_new_leader_gives_no_permit_that_an_earlier_one_gave():
+    sent = []
+    leader = cold_rate.ColdPermits(started_s=-60.0)
+    for step in range(2000):
+        now_s = step / 1000
+        if step % 100 == 0:
+            leader = cold_rate.ColdPermits(started_s=now_s)
+        if leader.take_permit("t", 1, 18.0, now_s, 8) == 0:
+            sent.append(now_s)
+    assert most_in_a_second(sent or [0.0]) <= 18
+
+
+def test_slots_of_hosts_without_a_leader_do_not_add_up():
+    rng = random.Random(3)
+    hosts = [cold_rate.ColdRateLimiter(phase=rng.random()) for _ in range(63)]
+    for host in hosts:
+        host.start(0.0, rng.random())
+    sent = []
+    for step in range(0, 60_000, 10):
+        now_s = step / 1000
+        # No host has requests for the first half minute.
+        for host in hosts if step > 30_000 else []:
+            if host.has_room(now_s) and host.take_slot(now_s, 5.5, 63):
                 sent.append(now_s)
-    worst = max(sum(1 for t in sent if s <= t < s + 1) for s in sent)
-    assert worst <= 18 + 8
+    assert most_in_a_second(sent) <= 5.5 * 1.5 + 8
+    assert len(sent) >= 0.4 * 5.5 * 29
 
 
 def capacities():
