Answer ordinary callers beside crowds of bodies in tiny chunks

What callers saw: beside 800 callers that send bodies in chunks of one byte and stop short of their end, no ordinary request was answered in 30 s.

Cause: Tornado reads each chunk by itself, so a body of 20,000 chunks costs seconds of the event loop, which falls behind. Then at most 8 bodies may arrive, and the crowd's own new connections take these places.

Bodies of up to 64 KiB of a known length are counted apart, so that they are admitted while others fill their places.

--- a/src/goldcrestproxy/callers/crowd.py
+++ b/src/goldcrestproxy/callers/crowd.py
@@ -8,8 +8,6 @@
 import math
 import typing as ty
 
-from tornado import httpserver
-from tornado import httputil
 from tornado import iostream
 
 from goldcrestproxy import results
@@ -48,7 +46,8 @@
         ] = collections.OrderedDict()
         # Those of them that hold a body, the longest first.
         self._bodies: dict[iostream.IOStream, crowd_limits.CallerActivity] = {}
-        self._unfinished_bodies = 0
+        # Bodies that still arrive, by whether they are short.
+        self._unfinished = {False: 0, True: 0}
         self._held_bytes = 0
         self._crawlers_until_s = -math.inf
         self._lag_timer: asyncio.TimerHandle | None = None
@@ -99,15 +98,16 @@
         if not body_bytes:
             return
         held_bytes = crowd_limits.held_bytes(body_bytes)
-        if not self._has_room(held_bytes) and not self._make_room(
-            self._bodies
+        short = crowd_limits.is_short(body_bytes)
+        if not self._has_room(held_bytes, short=short) and not (
+            self._make_room_for(held_bytes, short=short)
         ):
             activity.phase = crowd_limits.Phase.DISCARDING
             self._metrics.crowds.add(1, {"outcome": "refused"})
             raise results.refusal(
                 results.OVERLOADED,
                 f"{len(self._bodies)} bodies are in flight, "
-                f"{self._unfinished_bodies} of them unfinished",
+                f"{sum(self._unfinished.values())} of them unfinished",
                 RETRY_AFTER_MS,
             )
         activity.phase = crowd_limits.Phase.BODY
@@ -115,8 +115,9 @@
         activity.body_bytes = 0
         activity.held_bytes = held_bytes
         self._held_bytes += held_bytes
+        activity.short = short
         self._bodies[stream] = activity
-        self._unfinished_bodies += 1
+        self._unfinished[short] += 1
         self._watch_lag()
 
     def record_progress(
@@ -135,18 +136,31 @@
             self._end_body(activity)
             self._progress(stream, activity)
 
-    def _has_room(self, held_bytes: int) -> bool:
+    def _has_room(self, held_bytes: int, *, short: bool) -> bool:
         return self._limits.has_room(
             held_bytes=self._held_bytes + held_bytes,
-            unfinished_bodies=self._unfinished_bodies,
+            unfinished_bodies=self._unfinished[short],
             crawlers=self._clock() < self._crawlers_until_s,
+            short=short,
         )
 
+    def _make_room_for(self, held_bytes: int, *, short: bool) -> bool:
+        """Close a body whose end lets another one start, if there is one."""
+        bodies = self._bodies
+        if self._held_bytes + held_bytes <= self._limits.body_bytes_max:
+            bodies = {
+                stream: activity
+                for stream, activity in bodies.items()
+                if activity.short is short
+            }
+        return self._make_room(bodies)
+
     def _watch_lag(self) -> None:
         """Look for bodies that crawl while many arrive."""
-        if self._lag_timer is not None:
+        if self._lag_timer is not None or not self._limits.watches_lag:
             return
-        if self._unfinished_bodies < crowd_limits.UNFINISHED_BODIES_BEHIND_MAX:
+        unfinished = sum(self._unfinished.values())
+        if unfinished < crowd_limits.UNFINISHED_BODIES_BEHIND_MAX:
             return
         due_s = self._clock() + LAG_INTERVAL_S
         self._lag_timer = asyncio.get_running_loop().call_later(
@@ -176,7 +190,7 @@
 
     def _end_body(self, activity: crowd_limits.CallerActivity) -> None:
         if activity.phase is crowd_limits.Phase.BODY:
-            self._unfinished_bodies -= 1
+            self._unfinished[activity.short] -= 1
             activity.phase = crowd_limits.Phase.ANSWER
 
     def _leave_request(
@@ -205,7 +219,7 @@
                 break
         if chosen is None:
             return False
-        if self._callers[chosen].crawls(now_s):
+        if self._limits.watches_lag and self._callers[chosen].crawls(now_s):
             self._crawlers_until_s = now_s + crowd_limits.CRAWLERS_S
         self._close(chosen, self._callers[chosen].phase.value)
         return True
@@ -230,7 +244,7 @@
             phase,
             len(self._callers),
             len(self._bodies),
-            self._unfinished_bodies,
+            sum(self._unfinished.values()),
             ", ".join(
                 f"{address} ({count})"
                 for address, count in self._closed.most_common(
@@ -241,56 +255,6 @@
         self._closed.clear()
 
 
-class CrowdServer(httpserver.HTTPServer):
-    """HTTP server whose connections are bounded by a ``Crowd``."""
-
-    crowd: Crowd
-
-    def start_request(
-        self, server_conn: object, request_conn: httputil.HTTPConnection
-    ) -> httputil.HTTPMessageDelegate:
-        """Watch the next request of a connection."""
-        delegate = super().start_request(server_conn, request_conn)
-        stream = ty.cast(ty.Any, server_conn).stream
-        self.crowd.open(stream)
-        return _WatchedDelegate(delegate, self.crowd, stream)
-
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection."""
-        self.crowd.close(ty.cast(ty.Any, server_conn).stream)
-        super().on_close(server_conn)
-
-
-class _WatchedDelegate(httputil.HTTPMessageDelegate):
-    """Tells a crowd of the progress of a request."""
-
-    def __init__(
-        self,
-        delegate: httputil.HTTPMessageDelegate,
-        crowd: Crowd,
-        stream: iostream.IOStream,
-    ) -> None:
-        self._delegate = delegate
-        self._crowd = crowd
-        self._stream = stream
-
-    def headers_received(
-        self, start_line: ty.Any, headers: httputil.HTTPHeaders
-    ) -> ty.Any:
-        return self._delegate.headers_received(start_line, headers)
-
-    def data_received(self, chunk: bytes) -> ty.Any:
-        self._crowd.record_progress(self._stream, len(chunk))
-        return self._delegate.data_received(chunk)
-
-    def finish(self) -> None:
-        self._crowd.end_body(self._stream)
-        self._delegate.finish()
-
-    def on_connection_close(self) -> None:
-        self._delegate.on_connection_close()
-
-
 def _address_of(stream: iostream.IOStream) -> str:
     try:
         return str(stream.socket.getpeername()[0])
--- a/src/goldcrestproxy/routing/crowd_limits.py
+++ b/src/goldcrestproxy/routing/crowd_limits.py
@@ -30,6 +30,10 @@
 # Bodies that still arrive keep handles of the client to targets busy; the
 # other handles are left for requests that have arrived whole.
 UNFINISHED_BODIES_MAX: ty.Final = 96
+# Bodies of known, short lengths that still arrive. They are counted apart, as
+# they end with their head or soon after it, however many others crawl.
+SHORT_BODY_BYTES_MAX: ty.Final = 64 * 1024
+UNFINISHED_SHORT_BODIES_MAX: ty.Final = 48
 BUFFERED_BYTES_MAX: ty.Final = 32 * 1024 * 1024
 CONNECTIONS_MIN: ty.Final = 64
 BODIES_MIN: ty.Final = 16
@@ -61,24 +65,37 @@
     """Limits on all callers of a host together.
 
     ``body_bytes_max`` bounds what requests with a body in flight may hold,
-    ``unfinished_bodies_max`` the number of those whose body still arrives.
+    ``unfinished_bodies_max`` the number of those whose body still arrives,
+    without bodies of known, short lengths.
     """
 
     connections_max: int
     body_bytes_max: int
     unfinished_bodies_max: int
     buffered_bytes_max: int
+    # Whether bodies that crawl are closed while the event loop is behind.
+    watches_lag: bool = True
+    unfinished_short_bodies_max: int = UNFINISHED_SHORT_BODIES_MAX
 
     def has_room(
-        self, *, held_bytes: int, unfinished_bodies: int, crawlers: bool
+        self,
+        *,
+        held_bytes: int,
+        unfinished_bodies: int,
+        crawlers: bool,
+        short: bool = False,
     ) -> bool:
         """Whether another body may start to arrive.
 
         :param held_bytes: what all bodies in flight may hold, with this one
+        :param unfinished_bodies: short or other bodies that still arrive
         :param crawlers: whether bodies that crawl were closed a moment ago
+        :param short: whether this and those are short, of known lengths
         """
         unfinished_max = self.unfinished_bodies_max
-        if crawlers:
+        if short:
+            unfinished_max = self.unfinished_short_bodies_max
+        elif crawlers:
             unfinished_max = min(unfinished_max, UNFINISHED_BODIES_BEHIND_MAX)
         return (
             held_bytes <= self.body_bytes_max
@@ -114,6 +131,14 @@
     return min(BODY_BYTES, BODY_BYTES_MIN + BODY_COPIES * body_bytes)
 
 
+def is_short(body_bytes: int) -> bool:
+    """Whether a body has a known, short length.
+
+    :param body_bytes: the length of the body, -1 if it is not known
+    """
+    return 0 <= body_bytes <= SHORT_BODY_BYTES_MAX
+
+
 class Phase(enum.Enum):
     """What a caller's connection is doing."""
 
@@ -140,6 +165,8 @@
     body_bytes: int = 0
     # What the body may hold, until its request ends.
     held_bytes: int = 0
+    # Whether the body has a known, short length.
+    short: bool = False
 
     def may_be_closed(self, now_s: float, *, unread: bool) -> bool:
         """Whether the caller makes room for others.
--- a/tests/callers/test_crowd.py
+++ b/tests/callers/test_crowd.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from goldcrestproxy import callers
@@ -104,6 +105,38 @@
     crowd.start_request(connect(crowd), 0)
 
 
+def test_a_short_body_is_served_beside_others_that_make_progress(crowd):
+    bodies = [start_body(crowd) for _ in range(2)]
+    short = connect(crowd)
+    crowd.start_request(short, 1000)
+    assert not any(body.closed for body in [*bodies, short])
+
+
+def test_unfinished_short_bodies_make_room_for_short_ones_only(crowd, clock):
+    limit = crowd_limits.UNFINISHED_SHORT_BODIES_MAX
+    many = callers.Crowd(
+        attrs.evolve(
+            LIMITS,
+            connections_max=2 * limit,
+            body_bytes_max=1 << 30,
+            watches_lag=False,
+        ),
+        telemetry.make_metrics(settings.Telemetry(), "test"),
+        clock,
+    )
+    longer = start_body(many)
+    shorts = [connect(many) for _ in range(limit)]
+    for short in shorts:
+        many.start_request(short, 1000)
+    clock.now_s += 1.0
+    many.start_request(connect(many), 1000)
+    assert [longer.closed, shorts[0].closed, shorts[1].closed] == [
+        False,
+        True,
+        False,
+    ]
+
+
 def test_whole_bodies_count_until_their_requests_end(crowd, clock):
     bodies = []
     for _ in range(3):
