Bound the bodies that all senders of a listener leave unfinished

What an operator saw: a process out of memory. 60 connections that each send 4 MiB of a body and stop short of its end took a host that may have 160 MB to 313 to 339 MB, at the listeners of targets, operators, health checks and metrics, on control and entry hosts alike, by chunks of 64 KiB and 1 KiB and by a length.

Cause: only the listener of callers was bounded. Calls at the others are kept whole until they have arrived, 16 to 100 MB each, and their number followed from the descriptors. That this ended the process in the reported trial is not shown; it may have been the listener of callers, before.

Change: a listener counts what has arrived of all its bodies, closes those without progress to make room, and else the one that goes on. Health checks and metrics take 4 KiB and 128 connections. Control hosts are told their memory and descriptors.

--- a/src/goldcrestproxy/callers/__init__.py
+++ b/src/goldcrestproxy/callers/__init__.py
@@ -5,6 +5,7 @@
 from goldcrestproxy.callers.crowd import CHUNK_BYTES
 from goldcrestproxy.callers.crowd import Crowd
 from goldcrestproxy.callers.crowd_server import CrowdServer
+from goldcrestproxy.callers.crowd_server import KeptBodyServer
 from goldcrestproxy.callers.departure import has_left
 from goldcrestproxy.callers.gate import Gate
 from goldcrestproxy.callers.handler import CallerHandler
@@ -17,6 +18,7 @@
     "Crowd",
     "CrowdServer",
     "Gate",
+    "KeptBodyServer",
     "StreamingHandler",
     "body_bytes",
     "has_left",
--- a/src/goldcrestproxy/callers/crowd.py
+++ b/src/goldcrestproxy/callers/crowd.py
@@ -81,11 +81,16 @@
             self._leave_request(stream, activity)
 
     def start_request(
-        self, stream: iostream.IOStream, body_bytes: int
+        self,
+        stream: iostream.IOStream,
+        body_bytes: int,
+        *,
+        kept: bool = False,
     ) -> None:
         """Count a request whose head was read.
 
         :param body_bytes: the length of its body, -1 if it is not known
+        :param kept: whether ``hold`` counts the body as it arrives
         :raises RefusedError: if there are too many bodies, and none of their
             callers has been idle
         """
@@ -97,7 +102,7 @@
         self._progress(stream, activity)
         if not body_bytes:
             return
-        held_bytes = crowd_limits.held_bytes(body_bytes)
+        held_bytes = 0 if kept else crowd_limits.held_bytes(body_bytes)
         short = crowd_limits.is_short(body_bytes)
         if not self._has_room(held_bytes, short=short) and not (
             self._make_room_for(held_bytes, short=short)
@@ -129,6 +134,23 @@
             activity.body_bytes += body_bytes
             self._progress(stream, activity)
 
+    def hold(self, stream: iostream.IOStream, size_bytes: int) -> None:
+        """Count a part of a body that is kept until its request ends.
+
+        Without room, the least active bodies are closed; if all others are
+        active, this one.
+        """
+        activity = self._callers.get(stream)
+        if activity is None:
+            return
+        while self._held_bytes + size_bytes > self._limits.body_bytes_max:
+            if not self._make_room(self._bodies):
+                self._close(stream, activity.phase.value)
+            if stream not in self._callers:
+                return
+        activity.held_bytes += size_bytes
+        self._held_bytes += size_bytes
+
     def end_body(self, stream: iostream.IOStream) -> None:
         """Record that the whole request has arrived."""
         activity = self._callers.get(stream)
--- a/src/goldcrestproxy/callers/crowd_server.py
+++ b/src/goldcrestproxy/callers/crowd_server.py
@@ -11,6 +11,11 @@
 
 from goldcrestproxy.callers import chunked_body
 from goldcrestproxy.callers import crowd as crowds
+from goldcrestproxy.callers import headers
+from goldcrestproxy import errors
+
+# What a piece of a body costs besides its bytes.
+PIECE_BYTES: ty.Final = 64
 
 
 class CrowdServer(httpserver.HTTPServer):
@@ -64,3 +69,35 @@
 
     def on_connection_close(self) -> None:
         self._delegate.on_connection_close()
+
+
+class KeptBodyServer(CrowdServer):
+    """HTTP server that keeps whole bodies until their requests end."""
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Bound what the next request of a connection may hold."""
+        delegate = super().start_request(server_conn, request_conn)
+        stream = ty.cast(ty.Any, server_conn).stream
+        return _KeptBodyDelegate(delegate, self.crowd, stream)
+
+
+class _KeptBodyDelegate(_WatchedDelegate):
+    """Counts a body from its head to the end of its request."""
+
+    def headers_received(
+        self, start_line: ty.Any, headers_: httputil.HTTPHeaders
+    ) -> ty.Any:
+        try:
+            self._crowd.start_request(
+                self._stream, headers.body_bytes(headers_), kept=True
+            )
+        except errors.RefusedError:
+            # Its sender tries another host.
+            self._stream.close()
+        return super().headers_received(start_line, headers_)
+
+    def data_received(self, chunk: bytes) -> ty.Any:
+        self._crowd.hold(self._stream, len(chunk) + PIECE_BYTES)
+        return super().data_received(chunk)
--- a/src/goldcrestproxy/daemon/capacity.py
+++ b/src/goldcrestproxy/daemon/capacity.py
@@ -8,7 +8,10 @@
 import resource
 import typing as ty
 
+from tornado import web
+
 from goldcrestproxy import callers
+from goldcrestproxy.control import clock as clocks
 from goldcrestproxy.routing import crowd_limits
 from goldcrestproxy import settings
 from goldcrestproxy import telemetry
@@ -17,6 +20,8 @@
 LOG = logging.getLogger(__name__)
 
 BYTES_PER_MB: ty.Final = 1_000_000
+# Health checks and requests for metrics need no bodies.
+CHECK_BODY_BYTES_MAX: ty.Final = 4 * 1024
 _MEMORY_INFO: ty.Final = pathlib.Path("/proc/meminfo")
 _CGROUP_LIMITS: ty.Final = (
     pathlib.Path("/sys/fs/cgroup/memory.max"),
@@ -62,6 +67,45 @@
     return callers.Crowd(bounds, metrics, clock)
 
 
+def make_kept_body_server(
+    application: web.Application,
+    host_limits: settings.Limits,
+    metrics: telemetry.Metrics,
+    body_bytes_max: int,
+) -> callers.KeptBodyServer:
+    """Return a server for calls whose bodies are read whole.
+
+    :param body_bytes_max: length of the longest body
+    """
+    bounds = crowd_limits.CrowdLimits.of_kept_bodies(
+        host_capacity(host_limits), body_bytes_max
+    )
+    return _make_server(application, bounds, metrics, body_bytes_max)
+
+
+def make_check_server(
+    application: web.Application, metrics: telemetry.Metrics
+) -> callers.KeptBodyServer:
+    """Return a server for health checks and readers of metrics."""
+    bounds = crowd_limits.CrowdLimits.of_checks(CHECK_BODY_BYTES_MAX)
+    return _make_server(application, bounds, metrics, CHECK_BODY_BYTES_MAX)
+
+
+def _make_server(
+    application: web.Application,
+    bounds: crowd_limits.CrowdLimits,
+    metrics: telemetry.Metrics,
+    body_bytes_max: int,
+) -> callers.KeptBodyServer:
+    server = callers.KeptBodyServer(
+        application,
+        max_body_size=body_bytes_max,
+        chunk_size=callers.CHUNK_BYTES,
+    )
+    server.crowd = callers.Crowd(bounds, metrics, clocks.monotonic)
+    return server
+
+
 def _system_memory_bytes() -> int:
     """Return the lowest limit that the system names."""
     found = [_installed_bytes()]
--- a/src/goldcrestproxy/daemon/composition.py
+++ b/src/goldcrestproxy/daemon/composition.py
@@ -247,6 +247,6 @@
             (r"/v1/quarantine", operators.QuarantineHandler, link_arguments),
         ]
     )
-    return httpserver.HTTPServer(
-        application, max_body_size=SERVICE_BODY_BYTES_MAX
+    return capacity.make_kept_body_server(
+        application, host_settings.limits, metrics, SERVICE_BODY_BYTES_MAX
     )
--- a/src/goldcrestproxy/daemon/fleet_composition.py
+++ b/src/goldcrestproxy/daemon/fleet_composition.py
@@ -7,7 +7,6 @@
 import typing as ty
 
 import attrs
-from tornado import httpserver
 from tornado import web
 
 from goldcrestproxy import callers
@@ -118,7 +117,11 @@
         handlers.calls[wire.Method.FORWARD] = _gated(forward, control_gate)
         listeners.append(
             _registrant_listener(
-                fleet_settings, control_service, metrics, control_gate
+                host_settings,
+                fleet_settings,
+                control_service,
+                metrics,
+                control_gate,
             )
         )
     entry = None
@@ -218,11 +221,12 @@
         endpoint=settings.Endpoint(
             host_settings.address, host_settings.telemetry.metrics_port
         ),
-        server=httpserver.HTTPServer(application),
+        server=capacity.make_check_server(application, metrics),
     )
 
 
 def _registrant_listener(
+    host_settings: settings.HostSettings,
     fleet_settings: settings.FleetSettings,
     service: control.ControlService,
     metrics: telemetry.Metrics,
@@ -238,8 +242,11 @@
         endpoint=settings.Endpoint.parse(
             ty.cast(str, fleet_settings.registrants)
         ),
-        server=httpserver.HTTPServer(
-            application, max_body_size=REGISTRANT_BODY_BYTES_MAX
+        server=capacity.make_kept_body_server(
+            application,
+            host_settings.limits,
+            metrics,
+            REGISTRANT_BODY_BYTES_MAX,
         ),
     )
 
@@ -358,6 +365,6 @@
             endpoint=settings.Endpoint.parse(
                 ty.cast(str, fleet_settings.balancer)
             ),
-            server=httpserver.HTTPServer(balancer_application),
+            server=capacity.make_check_server(balancer_application, metrics),
         ),
     )
--- a/src/goldcrestproxy/routing/crowd_limits.py
+++ b/src/goldcrestproxy/routing/crowd_limits.py
@@ -18,6 +18,11 @@
 USABLE_PART: ty.Final = 0.8
 CONNECTIONS_PART: ty.Final = 0.4
 BODIES_PART: ty.Final = 0.5
+# The same where bodies are kept whole and decoded, which takes several times
+# their length.
+KEPT_BODIES_PART: ty.Final = 0.2
+# Connections to listeners that answer health checks and read metrics.
+CHECKS_CONNECTIONS_MAX: ty.Final = 128
 # A connection with its parser and as much of a head as is read.
 CONNECTION_BYTES: ty.Final = 88 * 1024
 # A body with all buffers between caller and target filled. A short one fills
@@ -120,6 +125,43 @@
             ),
         )
 
+    @classmethod
+    def of_kept_bodies(
+        cls, capacity: HostCapacity, body_bytes_max: int
+    ) -> CrowdLimits:
+        """Return the limits of a listener that keeps whole bodies.
+
+        :param body_bytes_max: length of the longest body, which always fits
+        """
+        usable = max(0, capacity.memory_bytes - PROCESS_BYTES) * USABLE_PART
+        connections = min(
+            int(usable * CONNECTIONS_PART / CONNECTION_BYTES),
+            capacity.descriptors - DESCRIPTORS_RESERVED,
+        )
+        connections_max = max(CONNECTIONS_MIN, connections)
+        return cls(
+            connections_max=connections_max,
+            body_bytes_max=max(
+                body_bytes_max + BODY_BYTES_MIN, int(usable * KEPT_BODIES_PART)
+            ),
+            unfinished_bodies_max=connections_max,
+            unfinished_short_bodies_max=connections_max,
+            buffered_bytes_max=0,
+            watches_lag=False,
+        )
+
+    @classmethod
+    def of_checks(cls, body_bytes_max: int) -> CrowdLimits:
+        """Return the limits of a listener whose requests have no bodies."""
+        return cls(
+            connections_max=CHECKS_CONNECTIONS_MAX,
+            body_bytes_max=CHECKS_CONNECTIONS_MAX * body_bytes_max,
+            unfinished_bodies_max=CHECKS_CONNECTIONS_MAX,
+            unfinished_short_bodies_max=CHECKS_CONNECTIONS_MAX,
+            buffered_bytes_max=0,
+            watches_lag=False,
+        )
+
 
 def held_bytes(body_bytes: int) -> int:
     """Return what a body may hold on its way from a caller to a target.
--- a/tests/callers/test_crowd.py
+++ b/tests/callers/test_crowd.py
@@ -166,3 +166,54 @@
         stream = start_body(crowd)
         crowd.close(stream)
     assert not start_body(crowd).closed
+
+
+@pytest.fixture
+def kept(clock):
+    """A crowd of bodies that are kept whole, which has room for 1 MiB."""
+    metrics = telemetry.make_metrics(settings.Telemetry(), "test")
+    limits = attrs.evolve(
+        LIMITS,
+        body_bytes_max=1 << 20,
+        unfinished_bodies_max=9,
+        watches_lag=False,
+    )
+    return callers.Crowd(limits, metrics, clock)
+
+
+def keep_body(kept, size_bytes):
+    stream = connect(kept)
+    kept.start_request(stream, -1, kept=True)
+    kept.record_progress(stream, size_bytes)
+    kept.hold(stream, size_bytes)
+    return stream
+
+
+def test_idle_bodies_that_are_kept_make_room_for_one_that_arrives(kept, clock):
+    idle = [keep_body(kept, 400_000) for _ in range(2)]
+    clock.now_s += 1.0
+    active = keep_body(kept, 1_000_000)
+    assert [stream.closed for stream in idle] == [True, True]
+    assert not active.closed
+
+
+def test_a_kept_body_without_room_is_closed_if_all_others_arrive(kept):
+    first = keep_body(kept, 600_000)
+    assert keep_body(kept, 600_000).closed
+    assert not first.closed
+    assert not keep_body(kept, 400_000).closed
+
+
+def test_a_kept_body_counts_until_its_request_ends(kept, clock):
+    body = keep_body(kept, 1_000_000)
+    kept.end_body(body)
+    clock.now_s += 30.0
+    assert keep_body(kept, 100_000).closed
+    # The next request of a connection ends the last one.
+    kept.open(body)
+    assert not keep_body(kept, 1_000_000).closed
+
+
+def test_a_kept_body_beyond_all_room_is_closed(kept):
+    assert keep_body(kept, (1 << 20) + 1).closed
+    assert not keep_body(kept, 1 << 20).closed
--- a/tests/system/test_body_crowds.py
+++ b/tests/system/test_body_crowds.py
@@ -50,9 +50,11 @@
 class Crowd:
     """Callers that send all but the end of a request and stay connected."""
 
-    def __init__(self, address, form):
+    callers = CALLERS
+
+    def __init__(self, address, rest):
         self._address = address
-        self._rest = FORMS[form]
+        self._rest = rest
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
         self._tasks = []
@@ -70,7 +72,7 @@
         self._loop.close()
 
     async def _start(self):
-        for _ in range(CALLERS):
+        for _ in range(self.callers):
             self._tasks.append(asyncio.create_task(self._call()))
 
     async def _end(self):
@@ -149,7 +151,7 @@
     process = entry_host.processes[ENTRY]
     address = "127.0.0.11", entry_host.ports["callers"]
     memory_bytes, descriptors = [], []
-    with Crowd(address, form):
+    with Crowd(address, FORMS[form]):
         end_s = time.monotonic() + HELD_S
         while time.monotonic() < end_s and process.poll() is None:
             memory_bytes.append(entry_host.resident_bytes(ENTRY))
