Give up answers whose heads do not end

What an operator saw: 250 answers with endless header lines took an entry host of 200 MB to 263 and 283 MB.

Cause: a head is kept line by line as far as libcurl reads it, 300 KB, and each line costs several times its bytes.

Change: a head may have 128 KiB, counting 256 bytes for each line besides its own; then the transfer is aborted and its request may have run.

--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -34,6 +34,9 @@
 RESET_CODES: ty.Final = (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
 # Covers every length that libcurl accepts.
 LENGTH_DIGITS_MAX: ty.Final = 19
+# Length of an answer's head, with what each line costs besides its bytes.
+HEAD_BYTES_MAX: ty.Final = 128 * 1024
+HEADER_BYTES: ty.Final = 256
 
 
 class Stage(enum.Enum):
@@ -167,6 +170,9 @@
         self._headers = httputil.HTTPHeaders()
         self._status = 0
         self._head_complete = False
+        self._head_bytes = 0
+        # Why the transfer was aborted here, if it was.
+        self._abort_reason = ""
         self._curl: pycurl.Curl | None = None
         self._unsent = b""
         self._cancelled = False
@@ -210,7 +216,7 @@
             self._fetched = self._handles.fetch(self._request)
             await self._fetched
         except curl_httpclient.CurlError as error:
-            return error.errno, str(error.message)
+            return error.errno, self._abort_reason or str(error.message)
         except Exception as error:
             return 0, str(error)
         finally:
@@ -328,6 +334,13 @@
         return int(self._cancelled)
 
     def _on_header(self, line: bytes) -> int | None:
+        self._head_bytes += len(line) + HEADER_BYTES
+        if self._head_bytes > HEAD_BYTES_MAX:
+            # Makes libcurl abort the transfer and close its connection.
+            self._abort_reason = (
+                f"the head of the answer exceeds {HEAD_BYTES_MAX} bytes"
+            )
+            return -1
         text = line.decode("latin1").rstrip("\r\n")
         if text.startswith("HTTP/"):
             self._headers.clear()
--- a/tests/targets/test_transfer.py
+++ b/tests/targets/test_transfer.py
@@ -306,3 +306,30 @@
         assert found.value.stage is targets.Stage.SENT
 
     run(respond, scenario)
+
+
+@pytest.mark.parametrize(
+    ("lines", "fits"), [(100, True), (380, True), (600, False)]
+)
+def test_a_head_beyond_its_limit_ends_the_transfer(lines, fits):
+    """Each host may read heads of hundreds of targets at once."""
+
+    async def respond(server, number, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n")
+        for line in range(lines):
+            writer.write(b"X-%03d: 0123456789\r\n" % line)
+        writer.write(b"\r\nok")
+        await writer.drain()
+        return False
+
+    async def scenario(_server, client):
+        if fits:
+            _, head, text = await send(client)
+            assert (len(head.headers), text) == (lines + 1, b"ok")
+            return
+        with pytest.raises(targets.TransferError) as caught:
+            await send(client)
+        assert caught.value.stage is targets.Stage.SENT
+        assert "exceeds 131072 bytes" in str(caught.value)
+
+    run(respond, scenario)
