review: show an upload that crashes targets and is never quarantined

Cause: bodies of over 64 KiB are no part of a request's fingerprint. An answer to any other large upload to the same path clears the crashes that were counted for the one that crashes targets.

The stand-in for a target can crash under a body. Nothing is fixed.

--- a/review/common-3/peers.py
+++ b/review/common-3/peers.py
@@ -199,6 +199,10 @@
         self.arrivals = []
         self.runs = []
         self.broken_off = []
+        # A body that ends this server as it begins to run the request, and
+        # what is called then.
+        self.deadly_body = None
+        self.on_crash = None
         self.leaving_acked_s = None
         self.held = {}
         self.held_until_s = 0.0
@@ -217,7 +221,7 @@
 
     async def start(self):
         self._listener = await asyncio.start_server(
-            self._serve_connection, *self.address, backlog=1024
+            self._accept, *self.address, backlog=1024
         )
         self._beats = asyncio.create_task(self._send_beats())
 
@@ -315,8 +319,12 @@
             first <= key <= last for first, last in self.held
         )
 
+    def _accept(self, reader, writer):
+        task = asyncio.create_task(self._serve_connection(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _serve_connection(self, reader, writer):
-        self._tasks.add(asyncio.current_task())
         self._writers.add(writer)
         try:
             while await self._serve_request(reader, writer):
@@ -324,14 +332,13 @@
         except (OSError, EOFError, ValueError, asyncio.CancelledError):
             pass
         finally:
-            self._tasks.discard(asyncio.current_task())
             self._writers.discard(writer)
             writer.close()
 
     async def _serve_request(self, reader, writer):
         first, headers = await read_head(reader)
         _, path, _ = first.split()
-        await read_body(reader, headers)
+        body = await read_body(reader, headers)
         attempt = headers.get("attempt-id", "")
         if path == "/healthz":
             status = 200 if self.state == "ready" else 503
@@ -358,6 +365,11 @@
         self._running += 1
         self._record.add(self.name, "runs", attempt)
         self.runs.append((attempt, time.monotonic()))
+        if self.deadly_body is not None and body == self.deadly_body:
+            self._record.add(self.name, "crashes under", attempt)
+            self.on_crash()
+            await self.stop()
+            return False
         whole = False
         try:
             await asyncio.sleep(self.work_s)
