Tell long bodies under one Idempotency-Key apart by their digest

A caller that used a key again for another body of over 64 KiB and the same length got the recorded answer to the first body.

Cause: a claim held the length of a long body, for want of a digest.

Change: it holds the digest of the first 512 KiB, and beside it the fingerprint of earlier builds, by which resends over an upgrade are recognised.

Result: test_long_bodies_under_one_idempotency_key_are_told_apart failed on (200 instead of code 1009) and passes.

--- a/src/goldcrestproxy/control/claims.py
+++ b/src/goldcrestproxy/control/claims.py
@@ -55,6 +55,7 @@
                 host=command.host,
                 session=command.session,
                 time_s=command.time_s,
+                earlier_fingerprint=command.earlier_fingerprint,
             )
             return outcomes.Claimed()
         # A proposal whose outcome was lost may be proposed again.
@@ -63,7 +64,7 @@
         return outcomes.AlreadyClaimed(
             request_id=existing.request_id,
             answer=existing.answer,
-            same_request=existing.fingerprint == command.fingerprint,
+            same_request=existing.is_same_request(command),
         )
 
     def _settle(self, command: commands.SettleClaim) -> outcomes.Outcome:
--- a/src/goldcrestproxy/control/commands.py
+++ b/src/goldcrestproxy/control/commands.py
@@ -227,7 +227,11 @@
 
 @attrs.frozen(kw_only=True)
 class Claim:
-    """Claims an idempotency key before the request is sent."""
+    """Claims an idempotency key before the request is sent.
+
+    ``earlier_fingerprint`` is the one that earlier builds compute for a long
+    body, from its length.
+    """
 
     customer: str
     idempotency_key: str
@@ -237,6 +241,7 @@
     host: str
     session: str
     time_s: float
+    earlier_fingerprint: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/goldcrestproxy/control/records.py
+++ b/src/goldcrestproxy/control/records.py
@@ -128,6 +128,15 @@
     session: str
     time_s: float
     answer: commands.Answer | None = None
+    # See ``commands.Claim``.
+    earlier_fingerprint: str = ""
+
+    def is_same_request(self, claim: commands.Claim) -> bool:
+        """Whether a claim is for the request that holds this one."""
+        return (
+            claim.fingerprint in (self.fingerprint, self.earlier_fingerprint)
+            or claim.earlier_fingerprint == self.fingerprint
+        )
 
 
 @attrs.define(kw_only=True)
--- a/src/goldcrestproxy/entries/claims.py
+++ b/src/goldcrestproxy/entries/claims.py
@@ -15,6 +15,7 @@
 from goldcrestproxy.entries import caller_request
 from goldcrestproxy.entries import control_link
 from goldcrestproxy.entries import fingerprints
+from goldcrestproxy.entries import refusals
 from goldcrestproxy import errors
 from goldcrestproxy import results
 from goldcrestproxy import wire
@@ -42,8 +43,16 @@
         """Claim the key and run the request, or return the recorded answer.
 
         :raises RefusedError: also when a request with the same key is running,
-            or ran without a recorded answer
+            or ran without a recorded answer, and when its body cannot be
+            told from others
         """
+        if plan.body_digest == fingerprints.UNREAD_DIGEST:
+            raise results.refusal(
+                results.OVERLOADED,
+                "there is no room to read the body that belongs to the "
+                "Idempotency-Key",
+                refusals.SHED_RETRY_AFTER_MS,
+            )
         claim = self._claim(plan)
         try:
             outcome = await self._link.propose(claim)
@@ -65,21 +74,16 @@
             await asyncio.wait(set(self._settle_tasks))
 
     def _claim(self, plan: attempts.RequestPlan) -> control.Claim:
+        length = str(plan.request.body_bytes)
+        earlier_fingerprint = ""
         match plan.identity:
-            case body_identity.ShortBody(digest=digest):
-                body = digest
-            case _:
-                body = str(plan.request.body_bytes)
+            case body_identity.LongBody():
+                earlier_fingerprint = _fingerprint(plan, length)
         return control.Claim(
             customer=plan.classified.customer,
             idempotency_key=plan.request.idempotency_key,
-            fingerprint=fingerprints.of_parts(
-                plan.classified.customer,
-                plan.classified.desk_name,
-                plan.request.method,
-                plan.classified.path,
-                body,
-            ),
+            fingerprint=_fingerprint(plan, plan.body_digest or length),
+            earlier_fingerprint=earlier_fingerprint,
             request_id=plan.request.request_id,
             claim_id=uuid.uuid4().hex,
             host=self._host,
@@ -131,6 +135,16 @@
             )
 
 
+def _fingerprint(plan: attempts.RequestPlan, digest: str) -> str:
+    return fingerprints.of_parts(
+        plan.classified.customer,
+        plan.classified.desk_name,
+        plan.request.method,
+        plan.classified.path,
+        digest,
+    )
+
+
 def _answer_of(answer: caller_request.RoutedAnswer) -> control.Answer:
     """Return the answer to record.
 
--- a/tests/control/test_claims.py
+++ b/tests/control/test_claims.py
@@ -11,7 +11,7 @@
 from goldcrestproxy import results
 
 
-def claim(claim_id, fingerprint="f", session="s"):
+def claim(claim_id, fingerprint="f", session="s", earlier_fingerprint=""):
     return commands.Claim(
         customer="c",
         idempotency_key="k",
@@ -21,6 +21,7 @@
         host="h",
         session=session,
         time_s=1.0,
+        earlier_fingerprint=earlier_fingerprint,
     )
 
 
@@ -105,6 +106,23 @@
     assert not other.same_request
 
 
+def test_claims_for_long_bodies_are_compared_across_builds():
+    """Guards against second runs of uploads during an upgrade."""
+    earlier = claim("one", fingerprint="by length")
+    later = claim("two", fingerprint="f", earlier_fingerprint="by length")
+    for first, second in ((earlier, later), (later, earlier)):
+        state = control.ControlState()
+        state.apply(1, first)
+        assert state.apply(2, second).same_request
+
+
+def test_long_bodies_of_one_length_are_different_requests():
+    state = control.ControlState()
+    state.apply(1, claim("one", "f", earlier_fingerprint="by length"))
+    other = claim("two", "g", earlier_fingerprint="by length")
+    assert not state.apply(2, other).same_request
+
+
 def test_old_settled_claims_are_evicted():
     state = control.ControlState()
     state.apply(1, claim("one"))
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -373,6 +373,20 @@
     assert serves_another_upload()
 
 
+def test_long_bodies_under_one_idempotency_key_are_told_apart(cluster):
+    """Guards against the recorded answer to another body."""
+    cluster.add_target("pitch-0", "pitches", "zone-a", "--fencing")
+    cluster.wait_in_service("pitches")
+    host = cluster.entry_hosts[0]
+    url = f"{host.caller_url}/kisvaros/pitches/pitches/p9/photo"
+    headers = {"Idempotency-Key": "photo"}
+    first, second = os.urandom(LONG_BODY_BYTES), os.urandom(LONG_BODY_BYTES)
+    assert clusters.fetch(url, "POST", first, headers).status == 200
+    assert clusters.fetch(url, "POST", second, headers).code == 1009
+    assert clusters.fetch(url, "POST", first, headers).status == 200
+    assert len([run for run in cluster.runs() if "photo" in run["path"]]) == 1
+
+
 def test_limit_that_a_target_names_binds_all_hosts_together(cluster):
     """One pool target names a limit, later a lower one, later none."""
     cluster.add_target("photo-0", "photos", "zone-a", "--service-ms", "1")
