Log how long a request waits between its target's choice and its first byte

The log line of a request and the metrics told how long a connection took, but not how old the choice of the target was.

Change: `choice_ages_ms` in the log line, an entry for each attempt, and the histogram `goldcrestproxy_choice_age_ms`.

--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -31,6 +31,8 @@
     asked_hosts: list[str] = attrs.field(factory=list)
     # Time that each attempt waited for its connection.
     connects_ms: list[int] = attrs.field(factory=list)
+    # Time from the choice of each attempt's target until it was sent.
+    choice_ages_ms: list[int] = attrs.field(factory=list)
     # Rest of the target's cold time when each attempt was sent, 0 if warm.
     cold_left_ms: list[int] = attrs.field(factory=list)
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -369,7 +369,12 @@
         state: dispatch_state.DispatchState,
         target: fleet_map.TrackedTarget,
     ) -> fleet_request.FleetAnswer:
+        chosen_s = self._clock()
+
         def sent(connect_s: float) -> None:
+            age_ms = (self._clock() - chosen_s) * 1000
+            state.choice_ages_ms.append(round(age_ms))
+            self._metrics.choice_age.record(age_ms)
             state.connects_ms.append(round(connect_s * 1000))
             cold_left_ms = self._fleet.cold_left_ms(target)
             state.cold_left_ms.append(cold_left_ms)
@@ -465,6 +470,7 @@
             sent_to=state.sent_to,
             asked_hosts=state.asked_hosts,
             passed_on=state.request.passed_on,
+            choice_ages_ms=state.choice_ages_ms,
             connects_ms=state.connects_ms,
             cold_left_ms=state.cold_left_ms,
             failures=[str(failure) for failure in state.failures],
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -40,7 +40,12 @@
             "goldcrestproxy.retries",
             description="Attempts after the first, by reason.",
         )
-
+        self.choice_age = meter.create_histogram(
+            "goldcrestproxy.choice.age",
+            unit="ms",
+            description="Time from the choice of a target to the first byte.",
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_MS,
+        )
         self.passed_on = meter.create_counter(
             "goldcrestproxy.passed_on",
             description="Requests that another entry host was asked to send.",
