Ask again whether a target may get a request right before it is sent

Cause: a request chooses its target and then waits for one of its host's 192 handles, for seconds in a burst. The check right before the first byte asked for the quarantine, the cold time and what the target's answers say, but not for what the choice had asked of the replicated state.

Change: the choice, the check after a wait for a permit and the one before the first byte ask the same functions. A request is asked about once it has a handle, before any connection is opened, and again before the first byte. One that is turned away chooses again, at no cost in attempts, retries or quota, and waits before all others for its next handle.

--- a/src/goldcrestproxy/entries/dispatch_state.py
+++ b/src/goldcrestproxy/entries/dispatch_state.py
@@ -18,7 +18,8 @@
     """A request, its route, and the attempts made so far.
 
     ``deadline_s`` is monotonic time. ``sent_to`` names the target of each
-    attempt in order.
+    attempt in order. ``turned_away`` says for each target that was chosen and
+    got nothing why it did not.
     """
 
     request: fleet_request.FleetRequest
@@ -33,6 +34,7 @@
     connects_ms: list[int] = attrs.field(factory=list)
     # Time from the choice of each attempt's target until it was sent.
     choice_ages_ms: list[int] = attrs.field(factory=list)
+    turned_away: list[str] = attrs.field(factory=list)
     # Rest of the target's cold time when each attempt was sent, 0 if warm.
     cold_left_ms: list[int] = attrs.field(factory=list)
     failures: list[fleet_retries.Failure] = attrs.field(factory=list)
--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -15,6 +15,7 @@
 from goldcrestproxy.entries import replay
 from goldcrestproxy.entries import running_requests
 from goldcrestproxy.entries import sending
+from goldcrestproxy.entries import suitability
 from goldcrestproxy.entries import suspects
 from goldcrestproxy.entries import target_selection
 from goldcrestproxy import errors
@@ -36,6 +37,8 @@
 STOPPING_RETRY_AFTER_MS: ty.Final = 100
 # For requests without a deadline header.
 DEADLINE_MS_DEFAULT: ty.Final = 30_000
+# How often a request may be turned away before it is refused.
+TURNS_MAX: ty.Final = 16
 _ANSWERED: ty.Final = str(results.ANSWERED)
 
 
@@ -267,6 +270,7 @@
             state.counted = True
         while True:
             try:
+                self._refuse_if_stuck(state)
                 await self._suspects.refuse_quarantined(state)
                 answer = await self._pass_on(state)
                 if answer is not None:
@@ -278,6 +282,8 @@
                 raise
             try:
                 return await self._send(state, target)
+            except sending.TurnedAwayError:
+                continue
             except sending.SendError as error:
                 state.awaiting_answer = False
                 state.failures.append(error.failure)
@@ -288,6 +294,21 @@
                     raise self._refusals.final(state) from error
                 self._mark_if_misdirected(state, error.failure)
 
+    def _refuse_if_stuck(self, state: dispatch_state.DispatchState) -> None:
+        """Refuse a request that was turned away and cannot be sent any more.
+
+        :raises RefusedError: as not run, unless an attempt may have run
+        """
+        turns = len(state.turned_away)
+        if not turns or (state.body.replayable and turns < TURNS_MAX):
+            return
+        raise self._refusals.not_run(
+            state,
+            results.NO_TARGET,
+            f"turned away before it was sent: {', '.join(state.turned_away)}",
+            dispatch_refusals.SHED_RETRY_AFTER_MS,
+        )
+
     async def _pass_on(
         self, state: dispatch_state.DispatchState
     ) -> fleet_request.FleetAnswer | None:
@@ -375,20 +396,7 @@
             age_ms = (self._clock() - chosen_s) * 1000
             state.choice_ages_ms.append(round(age_ms))
             self._metrics.choice_age.record(age_ms)
-            state.connects_ms.append(round(connect_s * 1000))
-            cold_left_ms = self._fleet.cold_left_ms(target)
-            state.cold_left_ms.append(cold_left_ms)
-            if cold_left_ms:
-                self._metrics.cold_requests.add(
-                    1, {"service": state.service, "outcome": "sent"}
-                )
-            if state.sent_to:
-                kind = type(state.failures[-1]).__name__
-                self._metrics.retries.add(1, {"reason": kind})
-            else:
-                self._budgets.of(state.service).record_request()
-            state.sent_to.append(target.name)
-            state.awaiting_answer = True
+            self._record_sent(state, target, connect_s)
 
         return await self._sender.send(
             state.request,
@@ -397,26 +405,74 @@
             idempotent=state.route.idempotent,
             new_connection=target.name in state.sent_to,
             deadline_s=state.deadline_s,
+            queue_first=bool(state.turned_away),
+            may_start=lambda: self._may_start(state, target),
             is_allowed=lambda: self._may_send(state, target),
             on_sent=sent,
         )
 
+    def _record_sent(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+        connect_s: float,
+    ) -> None:
+        state.connects_ms.append(round(connect_s * 1000))
+        cold_left_ms = self._fleet.cold_left_ms(target)
+        state.cold_left_ms.append(cold_left_ms)
+        if cold_left_ms:
+            self._metrics.cold_requests.add(
+                1, {"service": state.service, "outcome": "sent"}
+            )
+        if state.sent_to:
+            kind = type(state.failures[-1]).__name__
+            self._metrics.retries.add(1, {"reason": kind})
+        else:
+            self._budgets.of(state.service).record_request()
+        state.sent_to.append(target.name)
+        state.awaiting_answer = True
+
+    def _may_start(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> bool:
+        """Whether the target that was chosen may still get the request."""
+        reason = self._find_reason_against(state, target)
+        if reason is not None:
+            state.turned_away.append(f"{target.name} {reason}")
+            self._metrics.turned_away.add(1, {"reason": reason})
+        return reason is None
+
     def _may_send(
         self,
         state: dispatch_state.DispatchState,
         target: fleet_map.TrackedTarget,
     ) -> bool:
         """Whether a request may go to a target, right before it is sent."""
-        now_s = self._clock()
-        keyed = self._fleet.is_keyed(state.service)
-        if not self._suspects.may_send(state) or target.has_left(
-            now_s, keyed=keyed
-        ):
-            return False
-        if self._fleet.is_cold(target) and now_s > state.permitted_until_s:
+        if not self._may_start(state, target):
             return False
+        now_s = self._clock()
         return target.rest.take(now_s, target.stats.overdue_ms(now_s) / 1000)
 
+    def _find_reason_against(
+        self,
+        state: dispatch_state.DispatchState,
+        target: fleet_map.TrackedTarget,
+    ) -> str | None:
+        """Return why a request may not go to the target chosen for it."""
+        if not self._suspects.may_send(state):
+            return "quarantine"
+        now_s = self._clock()
+        hindrance = suitability.find_hindrance(
+            self._fleet, state, target, now_s
+        )
+        if hindrance is not None:
+            return hindrance.value
+        if self._fleet.is_cold(target) and now_s > state.permitted_until_s:
+            return "cold"
+        return None
+
     def _mark_if_misdirected(
         self,
         state: dispatch_state.DispatchState,
@@ -471,6 +527,7 @@
             asked_hosts=state.asked_hosts,
             passed_on=state.request.passed_on,
             choice_ages_ms=state.choice_ages_ms,
+            turned_away=state.turned_away,
             connects_ms=state.connects_ms,
             cold_left_ms=state.cold_left_ms,
             failures=[str(failure) for failure in state.failures],
--- a/src/goldcrestproxy/entries/fleet_map.py
+++ b/src/goldcrestproxy/entries/fleet_map.py
@@ -61,11 +61,13 @@
 class TrackedTarget:
     """A target's record with this host's statistics and its limits.
 
-    The target is cold until ``cold_until_s``, monotonic time.
+    The target is cold until ``cold_until_s``, monotonic time. ``available``
+    is whether the state lets it receive requests of a pool.
     """
 
     record: registry.RegisteredTarget
     stats: target_choice.TargetStats
+    available: bool = False
     cold_index: int = 0
     cold_until_s: float = 0.0
     rate: cold_rate.ColdRateLimiter
@@ -261,6 +263,10 @@
         """Return the targets of a service that may receive requests."""
         return self._by_service.get(service, [])
 
+    def is_available(self, target: TrackedTarget) -> bool:
+        """Whether a target, in its lifetime, may receive requests."""
+        return target.available and self.targets.get(target.name) is target
+
     def is_keyed(self, name: str) -> bool:
         """Whether a service is divided by key."""
         service = self.services.get(name)
@@ -428,7 +434,8 @@
         }
         self._by_service = {}
         for tracked in self.targets.values():
-            if state.is_eligible(tracked.record):
+            tracked.available = state.is_eligible(tracked.record)
+            if tracked.available:
                 self._by_service.setdefault(tracked.record.service, []).append(
                     tracked
                 )
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -51,6 +51,16 @@
         super().__init__(str(failure))
 
 
+class TurnedAwayError(SendError):
+    """A request may no longer go to its target; nothing was sent."""
+
+    def __init__(self) -> None:
+        """Create an error for an attempt that costs nothing."""
+        super().__init__(
+            fleet_retries.NotRun(text="its target may no longer get it")
+        )
+
+
 class Sender:
     """Sends requests to targets, reads the answers and records statistics."""
 
@@ -85,6 +95,8 @@
         idempotent: bool,
         new_connection: bool,
         deadline_s: float,
+        queue_first: bool = False,
+        may_start: ty.Callable[[], bool] = lambda: True,
         is_allowed: ty.Callable[[], bool],
         on_sent: ty.Callable[[float], None],
     ) -> fleet_request.FleetAnswer:
@@ -96,10 +108,13 @@
         :param new_connection: do not reuse a connection: it may still carry
             another answer with the id of this request
         :param deadline_s: monotonic time
-        :param is_allowed: asked once there is a connection; if it returns
+        :param queue_first: wait for a handle before all other requests
+        :param may_start: asked after a wait for a handle
+        :param is_allowed: asked once there is a connection; if either returns
             False, nothing is sent
         :param on_sent: called before the first byte is sent, with the
             seconds that it took to get a connection
+        :raises TurnedAwayError: when it was not allowed to be sent
         :raises SendError: when the attempt did not succeed
         """
         try:
@@ -111,6 +126,8 @@
                     idempotent=idempotent, new_connection=new_connection
                 ),
                 deadline_s=deadline_s,
+                queue_first=queue_first,
+                may_start=may_start,
                 is_allowed=is_allowed,
                 on_sent=on_sent,
             )
@@ -129,6 +146,8 @@
         *,
         idle_s_max: int,
         deadline_s: float,
+        queue_first: bool,
+        may_start: ty.Callable[[], bool],
         is_allowed: ty.Callable[[], bool],
         on_sent: ty.Callable[[float], None],
     ) -> fleet_request.FleetAnswer:
@@ -138,6 +157,11 @@
 
         denied = False
 
+        def may_take_handle() -> bool:
+            nonlocal denied
+            denied = not may_start()
+            return not denied
+
         def may_send() -> bool:
             nonlocal denied
             denied = not is_allowed()
@@ -167,7 +191,9 @@
                     request.request_id,
                 ),
                 deadline_header=self._conventions.deadline_header,
+                queue_first=queue_first,
             ),
+            may_take_handle,
             may_send,
         )
         if pipe is not None:
@@ -180,14 +206,15 @@
             answer = await self._read(transfer, target, request, started_s)
             return answer
         except targets.TransferError as error:
+            if denied:
+                raise TurnedAwayError() from error
             failure = _failure_of(transfer, error)
             if error.timed_out and error.stage is targets.Stage.NOT_SENT:
                 adaptive_timeout.record_timeout()
             waited_s = self._clock() - started_s - transfer.queued_s
-            if not denied:
-                self._record_failure(
-                    transfer, target, error, failure, waited_s * 1000
-                )
+            self._record_failure(
+                transfer, target, error, failure, waited_s * 1000
+            )
             raise SendError(
                 failure, may_have_crashed=_may_have_crashed(transfer, failure)
             ) from error
--- a/src/goldcrestproxy/entries/target_limits.py
+++ b/src/goldcrestproxy/entries/target_limits.py
@@ -9,6 +9,7 @@
 from goldcrestproxy.entries import dispatch_refusals
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_map
+from goldcrestproxy.entries import suitability
 from goldcrestproxy.entries import suspects
 from goldcrestproxy import results
 from goldcrestproxy.routing import cold_rate
@@ -122,18 +123,9 @@
         if not permitted:
             return False
         await self._suspects.refuse_quarantined(state)
-        return self._is_suitable(state, target)
-
-    def _is_suitable(
-        self,
-        state: dispatch_state.DispatchState,
-        target: fleet_map.TrackedTarget,
-    ) -> bool:
-        """Whether a target that was chosen may still get the request."""
-        key = state.request.key
-        if key is not None and self._fleet.is_keyed(state.service):
-            return self._fleet.owner(state.service, key) is target
-        return self._fleet.targets.get(target.name) is target
+        return not suitability.find_hindrance(
+            self._fleet, state, target, self._clock()
+        )
 
     def refuse_beyond_limit(
         self,
--- a/src/goldcrestproxy/entries/target_selection.py
+++ b/src/goldcrestproxy/entries/target_selection.py
@@ -8,6 +8,7 @@
 from goldcrestproxy.entries import dispatch_refusals
 from goldcrestproxy.entries import dispatch_state
 from goldcrestproxy.entries import fleet_map
+from goldcrestproxy.entries import suitability
 from goldcrestproxy.entries import suspects
 from goldcrestproxy.entries import target_limits
 from goldcrestproxy import errors
@@ -144,15 +145,16 @@
                 f"owner {owner.name} of key {key} does not answer",
                 LOST_OWNER_RETRY_AFTER_MS,
             )
-        if owner.has_left(self._clock(), keyed=True):
-            raise self._refusals.not_run(
-                state,
-                results.KEY_MOVING,
-                f"owner {owner.name} of key {key} leaves",
-                LOST_OWNER_RETRY_AFTER_MS,
-            )
-        if not owner.rest.may_send(self._clock()):
-            raise self._rest_refusal(state, [owner])
+        match suitability.own_hindrance(owner, self._clock(), keyed=True):
+            case suitability.Hindrance.RESTS:
+                raise self._rest_refusal(state, [owner])
+            case suitability.Hindrance():
+                raise self._refusals.not_run(
+                    state,
+                    results.KEY_MOVING,
+                    f"owner {owner.name} of key {key} leaves",
+                    LOST_OWNER_RETRY_AFTER_MS,
+                )
         return owner
 
     def _rest_refusal(
@@ -175,12 +177,19 @@
     def _choose_from_pool(
         self, state: dispatch_state.DispatchState
     ) -> fleet_map.TrackedTarget:
-        pool = self._fleet.available_targets(state.service)
         now_s = self._clock()
-        pool = [t for t in pool if not t.has_left(now_s, keyed=False)]
-        awake = [t for t in pool if t.rest.may_send(now_s)]
-        if pool and not awake:
-            raise self._rest_refusal(state, pool)
+        hindrances = [
+            (target, suitability.own_hindrance(target, now_s, keyed=False))
+            for target in self._fleet.available_targets(state.service)
+        ]
+        awake = [target for target, hindrance in hindrances if not hindrance]
+        resting = [
+            target
+            for target, hindrance in hindrances
+            if hindrance is suitability.Hindrance.RESTS
+        ]
+        if resting and not awake:
+            raise self._rest_refusal(state, resting)
         pool = [t for t in awake if not self._is_unreached(t)] or awake
         untried = [t for t in pool if t.name not in state.sent_to]
         candidates = self._with_room(untried) or self._with_room(pool) or pool
--- a/src/goldcrestproxy/targets/handles.py
+++ b/src/goldcrestproxy/targets/handles.py
@@ -30,16 +30,20 @@
             collections.deque()
         )
 
-    def take(self) -> asyncio.Future[None]:
+    def take(self, *, first: bool = False) -> asyncio.Future[None]:
         """Take a handle, or queue for one.
 
         The future is resolved once a handle is taken; cancelling it before
         leaves the queue.
+
+        :param first: go before all that wait
         """
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if self._free:
             self._free -= 1
             turn.set_result(None)
+        elif first:
+            self._waiting.appendleft(turn)
         else:
             self._waiting.append(turn)
         return turn
--- a/src/goldcrestproxy/targets/shared_client.py
+++ b/src/goldcrestproxy/targets/shared_client.py
@@ -26,7 +26,8 @@
     a reused connection may have been idle; 0 requires a new connection.
     ``expected_header`` is a header and the value that the answer must carry,
     ``deadline_header`` the header with the milliseconds left. A request that
-    queues for a handle fails ``queue_reserve_ms`` before its time-out.
+    queues for a handle fails ``queue_reserve_ms`` before its time-out, and
+    goes before all others with ``queue_first``.
     """
 
     address: str
@@ -40,6 +41,7 @@
     idle_s_max: int
     expected_header: tuple[str, str]
     deadline_header: str
+    queue_first: bool = False
 
 
 class SharedClient:
@@ -54,10 +56,15 @@
         self.adaptive_timeout = connect_timeout.ConnectTimeout()
 
     def start(
-        self, outgoing: OutgoingRequest, may_send: ty.Callable[[], bool]
+        self,
+        outgoing: OutgoingRequest,
+        may_start: ty.Callable[[], bool],
+        may_send: ty.Callable[[], bool],
     ) -> transfer.Transfer:
         """Prepare a request; ``Transfer.run`` sends it.
 
+        :param may_start: called after a wait for a handle; returning False
+            fails the transfer
         :param may_send: called right before the first byte is sent; returning
             False aborts the transfer
         """
@@ -88,6 +95,8 @@
             body_bytes=outgoing.body_bytes,
             new_connection=outgoing.idle_s_max == 0,
             connections=self._connections,
+            queue_first=outgoing.queue_first,
+            may_start=may_start,
             may_send=may_send,
             configure=configure,
             expected_header=outgoing.expected_header,
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -108,6 +108,8 @@
         new_connection: bool,
         connections: open_connections.Connections,
         may_send: ty.Callable[[], bool],
+        may_start: ty.Callable[[], bool] = lambda: True,
+        queue_first: bool = False,
         configure: ty.Callable[[pycurl.Curl], None] | None = None,
         expected_header: tuple[str, str] | None = None,
         deadline_header: str | None = None,
@@ -124,6 +126,9 @@
         :param connections: the connections used so far
         :param may_send: called right before the first byte is sent; returning
             False aborts the transfer
+        :param may_start: called after a wait for a handle; returning False
+            fails the transfer
+        :param queue_first: wait for a handle before all other transfers
         :param configure: sets further options of the libcurl handle
         :param expected_header: a header and the value that the answer must
             carry; an answer without it belongs to another request
@@ -136,6 +141,8 @@
         self._expected_header = expected_header
         self._deadline_header = deadline_header
         self._queue_reserve_s = queue_reserve_s
+        self._queue_first = queue_first
+        self._may_start = may_start
         self.mismatched = False
         self.head: asyncio.Future[AnswerHead] = (
             asyncio.get_running_loop().create_future()
@@ -197,8 +204,11 @@
                 break
             self._unclean_connection = False
             self._new_connection = True
+            self._queue_first = True
         else:
-            self._fail(0, "cancelled, or no handle became free in time")
+            self._fail(
+                0, "cancelled, not allowed, or no handle became free in time"
+            )
             return
         if error is not None:
             self._fail(*error)
@@ -235,10 +245,13 @@
             self._pause(pycurl.PAUSE_CONT)
 
     async def _take_handle(self) -> bool:
-        """Take a handle; return False if cancelled or too late for it."""
+        """Take a handle; return False if it is not to be used.
+
+        The transfer may be cancelled, too late, or no longer allowed.
+        """
         if self._cancelled:
             return False
-        turn = self._turn = self._handles.take()
+        turn = self._turn = self._handles.take(first=self._queue_first)
         if turn.done():
             self._request.request_timeout = max(0.001, self._left_s())
             return True
@@ -249,7 +262,11 @@
         if turn.cancelled():
             return False
         left_s = self._left_s()
-        if self._cancelled or left_s < self._queue_reserve_s:
+        if (
+            self._cancelled
+            or left_s < self._queue_reserve_s
+            or not self._may_start()
+        ):
             self._handles.give_back()
             return False
         self.queued_s = time.monotonic() - self._started_s
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -46,6 +46,11 @@
             description="Time from the choice of a target to the first byte.",
             explicit_bucket_boundaries_advisory=DURATION_BOUNDS_MS,
         )
+        self.turned_away = meter.create_counter(
+            "goldcrestproxy.turned_away",
+            description="Requests whose target could not get them any more "
+            "when they were to be sent, by reason.",
+        )
         self.passed_on = meter.create_counter(
             "goldcrestproxy.passed_on",
             description="Requests that another entry host was asked to send.",
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -160,6 +160,9 @@
     def available_targets(self, _service):
         return list(self.targets.values())
 
+    def is_available(self, target):
+        return self.targets.get(target.name) is target
+
     def owner(self, _service, _key):
         return None if self.misdirected else self.target
 
@@ -204,7 +207,7 @@
             await asyncio.Event().wait()
         self.on_connect()
         if not options["is_allowed"]():
-            raise sending.SendError(fleet_retries.NotRun(text="not allowed"))
+            raise sending.TurnedAwayError
         on_sent(0.0)
         self.sent += 1
         self.on_send()
--- a/tests/entries/test_fleet_map.py
+++ b/tests/entries/test_fleet_map.py
@@ -332,3 +332,37 @@
     assert fleet.quarantined == {"poison"}
     clock.now_s += fleet_map.QUARANTINE_S / 2 + 1
     assert fleet.quarantined == set()
+
+
+def registration(**changes):
+    fields = {
+        "target": "a",
+        "incarnation": 1,
+        "service": "desk",
+        "zone": "zone-a",
+        "address": "10.0.0.97:80",
+        "slots": 4,
+        "leaving": False,
+        "cold_ms": 0,
+    }
+    return registry.RegisterTarget(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        registration(leaving=True),
+        registration(incarnation=2),
+        registry.LoseTarget(target="a", incarnation=1, gone=False),
+        registry.LoseTarget(target="a", incarnation=1, gone=True),
+        registry.SetZone(zone="zone-a", out=True),
+    ],
+)
+def test_a_target_that_leaves_or_is_replaced_is_no_longer_available(
+    fleet, watcher, change
+):
+    """Guards against requests that keep a target which the state replaced."""
+    chosen = fleet.targets["a"]
+    assert fleet.is_available(chosen)
+    watcher.apply(change)
+    assert not fleet.is_available(chosen)
--- a/tests/targets/test_transfer_queue.py
+++ b/tests/targets/test_transfer_queue.py
@@ -12,6 +12,7 @@
 
 from goldcrestproxy import targets
 from goldcrestproxy.targets import connections as open_connections
+from goldcrestproxy.targets import handles as transfer_handles
 
 
 async def no_answer(server, number, reader, writer):
@@ -198,7 +199,7 @@
         self.curl = RecordingCurl()
         self.fetched = asyncio.get_running_loop().create_future()
 
-    def take(self):
+    def take(self, *, first=False):
         turn = asyncio.get_running_loop().create_future()
         turn.set_result(None)
         return turn
@@ -229,3 +230,52 @@
         await task
 
     asyncio.run(scenario())
+
+
+def test_a_transfer_that_is_not_allowed_after_its_wait_opens_no_connection():
+    """Guards against connections to targets that have left meanwhile."""
+
+    async def scenario(server, client):
+        handles = client._request_client
+        silent, silent_task = start(client, 20_000)
+        queued = targets.Transfer(
+            handles,
+            httpclient.HTTPRequest(
+                f"http://{client._address}/work", request_timeout=5.0
+            ),
+            body=None,
+            body_bytes=0,
+            new_connection=False,
+            connections=open_connections.Connections(),
+            may_send=lambda: True,
+            may_start=lambda: False,
+        )
+        task = asyncio.create_task(queued.run())
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        silent.cancel()
+        await silent_task
+        error = await failure_of(queued, task)
+        assert error.stage is targets.Stage.NOT_SENT
+        assert server.connections == 1
+        # Its handle is free again.
+        assert handles.take().done()
+        handles.give_back()
+
+    run(no_answer, scenario)
+
+
+def test_a_transfer_that_goes_first_is_sent_before_those_that_wait():
+    async def scenario():
+        single = transfer_handles.Handles(1)
+        single.take()
+        waiting = [single.take(), single.take()]
+        first = single.take(first=True)
+        single.give_back()
+        assert first.done()
+        assert not any(turn.done() for turn in waiting)
+        single.give_back()
+        assert waiting[0].done()
+        single.close()
+
+    asyncio.run(scenario())
