Ask again whether a coordinated target may get a request before it is sent

A request that waited for its connection, or was sent again after a silent connection, could go to a target that had meanwhile said that it leaves, was drained, out with its zone or handed over. No user has reported it.

Cause: as at the targets of fleets, the check before the first byte did not ask the replicated state again.

Change: it asks what is asked after the wait for admission.

Result: test_a_target_that_leaves_while_a_request_is_connected_gets_nothing failed without the change and passes.

--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -383,6 +383,10 @@
                 return False
             if owned is not None and not self.agent.is_usable(owned):
                 return False
+            try:
+                self._expected_slot(request)
+            except errors.RefusedError:
+                return False
             return self._rest.take(now_s, REST_PROBE_S)
 
         has_body = request.body_bytes != 0
--- a/tests/entries/test_coordinated_target.py
+++ b/tests/entries/test_coordinated_target.py
@@ -132,6 +132,19 @@
     )
 
 
+def test_a_target_that_leaves_while_a_request_is_connected_gets_nothing():
+    """Guards against requests at targets that left after their choice."""
+
+    def leave(state):
+        state.targets["t0"].leaving = True
+
+    with pytest.raises(errors.RefusedError) as refused:
+        asyncio.run(serve_queued(lambda *_: None, before_connecting=leave))
+    assert results.BY_CODE[refused.value.code].outcome is (
+        results.Outcome.NOT_RUN
+    )
+
+
 def test_cancelled_request_does_not_count_as_answered():
     def cancel(_, exchange):
         exchange.cancel()
