--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -437,7 +437,10 @@
         state: dispatch_state.DispatchState,
         target: fleet_map.TrackedTarget,
     ) -> bool:
-        """Whether the target that was chosen may still get the request."""
+        """Whether the target that was chosen may still get the request.
+
+        Otherwise the request is turned away, and the reason is recorded.
+        """
         reason = self._find_reason_against(state, target)
         if reason is not None:
             state.turned_away.append(f"{target.name} {reason}")
