Refuse long uploads without a target before their bodies arrive

A caller of the own interface whose long body was still arriving waited for the refusal until the body was read.

Cause: reads up to 512 KiB of each body before it looks for a target.

Change: a target is looked for first, and chosen anew once the body is read. A request whose Idempotency-Key is claimed is read first, as the recorded answer needs no target.

Result: the test passes; the one of long bodies under one key now also asks for the recorded answer while no target is there.

--- a/src/goldcrestproxy/entries/attempt.py
+++ b/src/goldcrestproxy/entries/attempt.py
@@ -57,6 +57,11 @@
         """Whether the request may run more than once."""
         return self.classified.route.idempotent
 
+    @property
+    def claims_key(self) -> bool:
+        """Whether its Idempotency-Key is claimed before it runs."""
+        return bool(self.request.idempotency_key) and not self.may_repeat
+
     @property
     def body_digest(self) -> str:
         """The body's part of the request's fingerprint."""
--- a/src/goldcrestproxy/entries/router.py
+++ b/src/goldcrestproxy/entries/router.py
@@ -7,9 +7,12 @@
 import random
 import typing as ty
 
+import attrs
+
 from goldcrestproxy import control
 from goldcrestproxy.entries import active_configuration
 from goldcrestproxy.entries import attempt as attempts
+from goldcrestproxy.entries import body_identity
 from goldcrestproxy.entries import caller_request
 from goldcrestproxy.entries import claims
 from goldcrestproxy.entries import control_link
@@ -136,7 +139,7 @@
                 progress,
             )
             try:
-                if request.idempotency_key and not plan.may_repeat:
+                if plan.claims_key:
                     return await self._claimer.run_once(
                         plan, lambda: self._run_with_retries(plan)
                     )
@@ -155,8 +158,9 @@
         progress: attempts.Progress,
     ) -> attempts.RequestPlan:
         body = replay.ReplayableBody(request.body)
-        await self._read_ahead(body, deadline_s)
-        return attempts.RequestPlan(
+        if request.body_bytes <= body_identity.SHORT_BODY_BYTES_MAX:
+            await self._read_by(deadline_s, body.read_ahead())
+        plan = attempts.RequestPlan(
             request=request,
             classified=classified,
             key_hash=partitions.key_hash(classified.customer, classified.key),
@@ -166,17 +170,25 @@
             trace_parent=trace_parent,
             progress=progress,
         )
-
-    async def _read_ahead(
-        self, body: replay.ReplayableBody, deadline_s: float
+        match plan.identity:
+            case body_identity.Unread():
+                if not plan.claims_key:
+                    # A refusal does not wait for a long body.
+                    await self._find_target(plan, set())
+                await self._read_by(deadline_s, body.read_ahead_long())
+                plan = attrs.evolve(plan, identity=body.identity)
+        return plan
+
+    async def _read_by(
+        self, deadline_s: float, reading: ty.Coroutine[ty.Any, ty.Any, None]
     ) -> None:
-        """Buffer the body until it is identified.
+        """Await the reading of a body.
 
         :raises RefusedError: if it does not arrive within the deadline
         """
         try:
             async with asyncio.timeout(deadline_s - self._clock()):
-                await body.read_ahead_long()
+                await reading
         except TimeoutError:
             raise results.refusal(
                 results.DEADLINE_NOT_RUN,
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -385,6 +385,12 @@
     assert clusters.fetch(url, "POST", second, headers).code == 1009
     assert clusters.fetch(url, "POST", first, headers).status == 200
     assert len([run for run in cluster.runs() if "photo" in run["path"]]) == 1
+    cluster.targets["pitch-0"].process.send(signal.SIGKILL)
+    clusters.wait_until(
+        lambda: clusters.fetch(key_url(host, "p9")).code == 2003,
+        "the key has no owner",
+    )
+    assert clusters.fetch(url, "POST", first, headers).status == 200
 
 
 def test_limit_that_a_target_names_binds_all_hosts_together(cluster):
