tests: bind callers' connections to a port only where an address is asked for

A connection that is bound without an address needs a port that no connection of the machine uses; one that is not bound needs a free pair of address and port only. No check has changed.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -296,8 +296,11 @@
     ``source`` is the local IP address; ``chunked`` sends the body in chunks.
     """
     host, port = address.split(":")
+    # Binding without an address would need a port that no other connection of
+    # this machine uses.
+    source_address = (source, 0) if source else None
     connection = http.client.HTTPConnection(
-        host, int(port), timeout=timeout_s, source_address=(source, 0)
+        host, int(port), timeout=timeout_s, source_address=source_address
     )
     try:
         if chunked:
