Take fields after a chunked body for no part of the head

What callers could see: "not run" for a request that its target had run, when the target sent Not-Executed after the body; another Response-Signature or other fields than those of the target's head.

Cause. libcurl passes trailers to the same callback as the lines of the head, and the callback added them to the headers that had already been handed on.

Lines after the end of the final head are dropped (RFC 9110, section 6.5.1: trailers are merged into the head only where a field's definition allows it). The callback knows that end, so nothing of the body can reach the head.

--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -351,6 +351,9 @@
         return int(self._cancelled)
 
     def _on_header(self, line: bytes) -> int | None:
+        if self._head_complete:
+            # A trailer (RFC 9112, section 7.1.2): no part of the head.
+            return None
         self._head_bytes += len(line) + HEADER_BYTES
         if self._head_bytes > HEAD_BYTES_MAX:
             # Makes libcurl abort the transfer and close its connection.
