Reject answers whose head does not tell for sure where the body ends

What callers got: a 200 with the target's Response-Signature and a part of its body, framed as whole. Through a real entry host: a target sent "Content-Length:", nine bytes and the end of its connection; the caller got "Content-Length: 9" and these nine bytes.

Two readers of one head with rules of their own. libcurl takes a length that it cannot hold for none, and the end of the connection for the end of the body; AnswerHead.body_bytes read the same field again, leniently, and called it unknown. The same holds for an empty Transfer-Encoding, for one other than chunked that libcurl ignores, for lengths in interim answers, for a status line of another protocol and for lines with different ends. A refusal with such a head was even taken for a promise that the request had not run.

Change. targets/answer_head.py reads every line of the head by RFC 9112 and returns one framing as a value, from which all callers take the length. What RFC 9112, section 6.3 calls unrecoverable, and what it lets a recipient repair, is rejected before anything of the head is used. libcurl either agrees with what is left or fails the transfer. A head without a length whose target announces to keep the connection has lost its length (section 9.3); so has one in which libcurl joined a framing field to the field before.

test_numbers_too_long_to_read_do_not_lose_the_answer was wrong in one of its two cases: RFC 9112, section 6.3, rule 5 has a proxy discard an answer with an invalid length. The case of the load report stays as it was. That of the length now asks for a failure that may have run and names the length.

--- a/src/goldcrestproxy/entries/refusals.py
+++ b/src/goldcrestproxy/entries/refusals.py
@@ -106,7 +106,7 @@
         cannot be detected
     """
     raise_not_run(head, target, on_shed)
-    body_bytes = head.body_bytes(request.method)
+    body_bytes = head.body_bytes
     if body_bytes is None:
         raise results.refusal(
             results.ANSWER_INCOMPLETE,
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -262,7 +262,7 @@
             headers=self._conventions.caller_headers(head.headers),
             body=body,
             remaining_body=None if complete else transfer.answer_body,
-            body_bytes=head.body_bytes(request.method),
+            body_bytes=head.body_bytes,
             cancel=transfer.cancel,
         )
         if metadata.not_run:
--- a/src/goldcrestproxy/targets/__init__.py
+++ b/src/goldcrestproxy/targets/__init__.py
@@ -4,6 +4,7 @@
 
 from goldcrestproxy.targets.agent import AgentTimes
 from goldcrestproxy.targets.agent import TargetAgent
+from goldcrestproxy.targets.answer_head import AnswerHead
 from goldcrestproxy.targets.client import TargetClient
 from goldcrestproxy.targets.conventions import AnswerMetadata
 from goldcrestproxy.targets.conventions import HeaderConventions
@@ -16,7 +17,6 @@
 from goldcrestproxy.targets.protocol import slot_name
 from goldcrestproxy.targets.shared_client import OutgoingRequest
 from goldcrestproxy.targets.shared_client import SharedClient
-from goldcrestproxy.targets.transfer import AnswerHead
 from goldcrestproxy.targets.transfer import Stage
 from goldcrestproxy.targets.transfer import Transfer
 from goldcrestproxy.targets.transfer import TransferError
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -15,9 +15,9 @@
 import pycurl
 from tornado import curl_httpclient
 from tornado import httpclient
-from tornado import httputil
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import answer_head
 from goldcrestproxy.targets import connections as open_connections
 from goldcrestproxy.targets import handles as transfer_handles
 from goldcrestproxy.wire import Pipe
@@ -28,15 +28,9 @@
 # its refusal can then reach the caller in time. Less than the time that a
 # retry needs.
 QUEUE_RESERVE_S: ty.Final = 0.015
-# Lower (1xx) statuses are interim: a final status follows.
-FINAL_STATUS_MIN: ty.Final = 200
-STATUS_DIGITS: ty.Final = 3
+# Makes libcurl abort the transfer and close its connection.
+ABORT: ty.Final = -1
 RESET_CODES: ty.Final = (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
-# Covers every length that libcurl accepts.
-LENGTH_DIGITS_MAX: ty.Final = 19
-# Length of an answer's head, with what each line costs besides its bytes.
-HEAD_BYTES_MAX: ty.Final = 128 * 1024
-HEADER_BYTES: ty.Final = 256
 
 
 class Stage(enum.Enum):
@@ -76,25 +70,6 @@
         return self.curl_code == pycurl.E_OPERATION_TIMEDOUT
 
 
-class AnswerHead:
-    """Status and headers of a target's answer."""
-
-    def __init__(self, status: int, headers: httputil.HTTPHeaders) -> None:
-        self.status = status
-        self.headers = headers
-
-    def body_bytes(self, method: str) -> int | None:
-        """Return the length of the body, -1 if chunked, None if unknown."""
-        if method == "HEAD" or self.status in (204, 304):
-            return 0
-        if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
-            return -1
-        length = self.headers.get("Content-Length", "")
-        if not length.isdecimal() or len(length) > LENGTH_DIGITS_MAX:
-            return None
-        return int(length)
-
-
 class Transfer:
     """One request and its answer, both streamed."""
 
@@ -144,7 +119,7 @@
         self._queue_first = queue_first
         self._may_start = may_start
         self.mismatched = False
-        self.head: asyncio.Future[AnswerHead] = (
+        self.head: asyncio.Future[answer_head.AnswerHead] = (
             asyncio.get_running_loop().create_future()
         )
         self.answer_body = Pipe()
@@ -174,12 +149,9 @@
         # Whether libcurl lost a reused connection and was to send again.
         self._resend_prevented = False
         self._may_send = may_send
-        self._headers = httputil.HTTPHeaders()
-        self._status = 0
-        self._head_complete = False
-        self._head_bytes = 0
+        self._head_reader = answer_head.HeadReader(request.method)
         # Why the transfer was aborted here, if it was.
-        self._abort_reason = ""
+        self._malformed: answer_head.MalformedAnswerError | None = None
         self._curl: pycurl.Curl | None = None
         self._unsent = b""
         self._cancelled = False
@@ -213,7 +185,7 @@
         if error is not None:
             self._fail(*error)
             return
-        if not self._head_complete:
+        if self._head_reader.head is None:
             # libcurl reports a success here.
             self._fail(0, "the answer broke off in its head")
             return
@@ -226,7 +198,7 @@
             self._fetched = self._handles.fetch(self._request)
             await self._fetched
         except curl_httpclient.CurlError as error:
-            return error.errno, self._abort_reason or str(error.message)
+            return error.errno, str(self._malformed or error.message)
         except Exception as error:
             return 0, str(error)
         finally:
@@ -351,46 +323,34 @@
         return int(self._cancelled)
 
     def _on_header(self, line: bytes) -> int | None:
-        if self._head_complete:
+        if self._head_reader.head is not None:
             # A trailer (RFC 9112, section 7.1.2): no part of the head.
             return None
-        self._head_bytes += len(line) + HEADER_BYTES
-        if self._head_bytes > HEAD_BYTES_MAX:
-            # Makes libcurl abort the transfer and close its connection.
-            self._abort_reason = (
-                f"the head of the answer exceeds {HEAD_BYTES_MAX} bytes"
-            )
-            return -1
-        text = line.decode("latin1").rstrip("\r\n")
-        if text.startswith("HTTP/"):
-            self._headers.clear()
-            self._head_complete = False
-            status = text.split(" ", 2)[1]
-            if len(status) != STATUS_DIGITS:
-                # libcurl reads only the first digits. Abort, see below.
-                return -1
-            self._status = int(status)
-        elif text:
-            self._headers.parse_line(text)
-        elif not self._is_expected_answer():
-            # Makes libcurl abort the transfer and close its connection.
+        try:
+            self._head_reader.feed(line)
+        except answer_head.MalformedAnswerError as malformed:
+            self._malformed = malformed
+            return ABORT
+        head = self._head_reader.head
+        if head is not None and not self._is_expected(head):
             self.mismatched = True
-            return -1
-        else:
-            self._head_complete = self._status >= FINAL_STATUS_MIN
+            return ABORT
         return None
 
-    def _is_expected_answer(self) -> bool:
-        if self._expected_header is None or self._status < FINAL_STATUS_MIN:
+    def _is_expected(self, head: answer_head.AnswerHead) -> bool:
+        if self._expected_header is None:
             return True
         name, value = self._expected_header
-        return self._headers.get(name) == value
+        return head.headers.get(name) == value
 
     def _set_head(self) -> None:
-        if not self.head.done():
-            self.head.set_result(AnswerHead(self._status, self._headers))
+        head = self._head_reader.head
+        if head is not None and not self.head.done():
+            self.head.set_result(head)
 
     def _on_body_chunk(self, chunk: bytes) -> int:
+        if self._head_reader.head is None:
+            return ABORT
         self._set_head()
         if self.answer_body.full:
             self._receive_paused = True
--- /dev/null
+++ b/tests/entries/test_malformed_answers.py
@@ -0,0 +1,122 @@
+"""A malformed answer reaches no caller, and tells nothing of its request."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import malformed_answers as malformed
+import pytest
+import test_early_answers
+import test_sending
+
+from goldcrestproxy.routing import fleet_retries
+
+LEFT_S = 2.0
+
+
+def answering(raw_answer, *, pieces=False, reused=False):
+    """Respond with an answer, whole or byte by byte, and close.
+
+    :param reused: write a sound answer to the first request
+    """
+
+    async def respond(server, number, reader, writer):
+        if reused and len(server.requests) == 1:
+            writer.write(malformed.with_length(malformed.LENGTH))
+            return True
+        size = 1 if pieces else len(raw_answer)
+        for at in range(0, len(raw_answer), size):
+            writer.write(raw_answer[at : at + size])
+            await writer.drain()
+            await asyncio.sleep(0)
+        return False
+
+    return respond
+
+
+def read(raw_answer, request=test_sending.REQUEST, **options):
+    """Return the body of a whole answer, None if there is none."""
+    bodies = []
+
+    async def scenario(attempts):
+        async with asyncio.timeout(LEFT_S + 1):
+            for _ in range(1 + options.get("reused", False)):
+                bodies.append(
+                    await test_early_answers.read_whole(attempts, request)
+                )
+
+    test_sending.run(answering(raw_answer, **options), scenario)
+    return bodies[-1]
+
+
+@pytest.mark.parametrize("pieces", [False, True])
+@pytest.mark.parametrize("raw_answer", malformed.HEADS)
+def test_a_malformed_answer_is_no_answer(raw_answer, pieces):
+    assert read(raw_answer, pieces=pieces) is None
+
+
+@pytest.mark.parametrize("raw_answer", malformed.HEADS)
+def test_a_malformed_answer_on_a_kept_connection_is_no_answer(raw_answer):
+    assert read(raw_answer, reused=True) is None
+
+
+@pytest.mark.parametrize("pieces", [False, True])
+@pytest.mark.parametrize("raw_answer", malformed.SOUND)
+def test_a_sound_answer_is_whole(raw_answer, pieces):
+    assert read(raw_answer, pieces=pieces) == malformed.BODY
+
+
+@pytest.mark.parametrize("raw_answer", malformed.REFUSALS)
+def test_a_malformed_refusal_does_not_say_that_nothing_ran(raw_answer):
+    async def scenario(attempts):
+        match await attempts.failure(LEFT_S):
+            case fleet_retries.MaybeRun():
+                pass
+            case failure:
+                pytest.fail(f"{failure} of {raw_answer!r}")
+
+    test_sending.run(answering(raw_answer), scenario)
+
+
+@pytest.mark.parametrize("method", ["HEAD", "POST"])
+@pytest.mark.parametrize("raw_answer", malformed.HEADS)
+def test_a_malformed_head_is_no_answer_to_other_methods(raw_answer, method):
+    request = attrs.evolve(test_sending.REQUEST, method=method)
+    if raw_answer.startswith(malformed.INTERIM) or method == "POST":
+        assert read(raw_answer, request) is None
+        return
+    # Without a body, a head without a length has lost none.
+    assert read(raw_answer, request) in (None, b"")
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("raw_answer", malformed.HEADS[:40])
+def test_a_malformed_head_during_an_upload_is_no_answer(raw_answer, chunked):
+    async def scenario(attempts):
+        pipe, request = test_early_answers.upload(chunked=chunked)
+        writing = asyncio.create_task(test_early_answers.write_slowly(pipe))
+        assert await test_early_answers.read_whole(attempts, request) is None
+        writing.cancel()
+
+    test_sending.run(answering(raw_answer), scenario)
+
+
+def test_an_empty_answer_with_a_body_makes_no_other_answer():
+    """Bytes after the head of a 204 belong to no request."""
+    second = malformed.with_length(b"5", b"other")
+
+    async def respond(server, number, reader, writer):
+        if len(server.requests) == 1:
+            writer.write(
+                b"HTTP/1.1 204 Empty\r\nAttempt-Id: r1\r\n\r\n" + second
+            )
+            return True
+        writer.write(malformed.with_length(malformed.LENGTH))
+        return True
+
+    async def scenario(attempts):
+        assert (await attempts.send(LEFT_S)).body == b""
+        assert (await attempts.send(LEFT_S)).body == malformed.BODY
+
+    test_sending.run(respond, scenario)
--- a/tests/entries/test_sending.py
+++ b/tests/entries/test_sending.py
@@ -314,24 +314,37 @@
     run(answering(raw_answer), scenario)
 
 
-@pytest.mark.parametrize(
-    "header",
-    [
-        b"Server-Load: " + b"9" * 5000 + b",1,1\r\nContent-Length: 2\r\n",
-        b"Content-Length: " + b"9" * 5000 + b"\r\nConnection: close\r\n",
-    ],
-)
-def test_numbers_too_long_to_read_do_not_lose_the_answer(header):
+LONG_NUMBER = b"9" * 5000
+
+
+def closing(raw_answer):
     async def respond(server, number, reader, writer):
-        writer.write(OK_HEAD + header + b"\r\nok")
+        writer.write(raw_answer)
         await writer.drain()
         return False
 
+    return respond
+
+
+def test_a_load_too_long_to_read_does_not_lose_the_answer():
     async def scenario(attempts):
         answer = await attempts.send(1.0)
         assert (answer.status, answer.body) == (200, b"ok")
 
-    run(respond, scenario)
+    load = b"Server-Load: " + LONG_NUMBER + b",1,1\r\n"
+    run(closing(OK_HEAD + load + b"Content-Length: 2\r\n\r\nok"), scenario)
+
+
+def test_an_answer_whose_length_is_too_long_to_read_is_not_whole():
+    """RFC 9112, section 6.3: nothing tells where such an answer ends."""
+
+    async def scenario(attempts):
+        failure = await attempts.failure(1.0)
+        assert_may_have_run(failure, timed_out=False)
+        assert "content-length" in failure.text
+
+    length = b"Content-Length: " + LONG_NUMBER + b"\r\n"
+    run(closing(OK_HEAD + length + b"Connection: close\r\n\r\nok"), scenario)
 
 
 @pytest.mark.parametrize(
--- a/tests/stand_in_fleet.py
+++ b/tests/stand_in_fleet.py
@@ -17,6 +17,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -205,6 +206,9 @@
         if "Endless" in headers:
             await self.write_without_end(headers["Endless"], request_id)
             return
+        if "Raw-Answer" in headers:
+            await self.write_raw(headers["Raw-Answer"], request_id)
+            return
         await asyncio.sleep(float(headers.get("Work-Seconds", WORK_S)))
         self.set_header("Response-Signature", f"{self.target.name}.sig")
         if self.target.keyed and time.monotonic() >= self.target.until_s:
@@ -217,6 +221,17 @@
             return
         self.write(self.request.body or b"looked up")
 
+    async def write_raw(self, raw_answer, request_id):
+        """Write bytes, given as hexadecimal digits, and close.
+
+        The id ``r1`` in them is replaced by that of the request.
+        """
+        stream = self.detach()
+        answer = bytes.fromhex(raw_answer)
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write(answer.replace(b"r1", request_id.encode()))
+        stream.close()
+
     async def write_without_end(self, part, request_id):
         """Write a part of an answer until the connection is closed."""
         stream = self.detach()
--- a/tests/targets/test_transfer.py
+++ b/tests/targets/test_transfer.py
@@ -155,7 +155,7 @@
 def test_answer_without_length_has_unknown_body_length():
     async def scenario(server, client):
         _, head, _ = await send(client)
-        assert head.body_bytes("GET") is None
+        assert head.body_bytes is None
 
     run(answer_without_length, scenario)
 
