Decode the chunks of answers by the RFC instead of libcurl's rules

What callers got: a 200 whose body ended early, as a whole one, when a target spoilt the size of a chunk. Through a real entry host, "9zz" before nine bytes and "0" after them reached the caller as "Content-Length: 9". After 200,000 sound bytes such a chunk ended the answer with a last chunk instead of a cut.

Cause. libcurl reads the hexadecimal digits of a size and skips whatever follows up to the end of the line, so "0zz" is a last chunk. It also accepts other bytes than CRLF after a chunk. A size that it does reject counted as a lost connection, that is as a busy target without room.

Change. libcurl hands the raw body on and still finds its end. BodyReader decodes it as the framing of the head says, with the decoder of requests' bodies, which moves to chunk_decoder.py and may now skip extensions and trailers, whose syntax it checks. An answer is whole only when the decoder has seen the last chunk and its trailers, or as many bytes as the head told; both it and libcurl have to agree. Orders offer no compression any more, since the length is that of the bytes that arrive.

Connections are kept after chunked answers as before, and a slow reader still holds a long one up.

--- a/src/goldcrestproxy/targets/answer_head.py
+++ b/src/goldcrestproxy/targets/answer_head.py
@@ -51,6 +51,8 @@
     LINE_END = "line-end"
     CONTENT_LENGTH = "content-length"
     TRANSFER_ENCODING = "transfer-encoding"
+    CHUNK = "chunk"
+    BODY_LENGTH = "body-length"
 
 
 class MalformedAnswerError(errors.GoldcrestProxyError):
--- a/src/goldcrestproxy/targets/client.py
+++ b/src/goldcrestproxy/targets/client.py
@@ -143,6 +143,8 @@
             method="POST",
             headers={"Content-Type": "application/json"},
             allow_nonstandard_methods=True,
+            follow_redirects=False,
+            decompress_response=False,
             connect_timeout=transfer.CONNECT_TIMEOUT_MS / 1000,
             request_timeout=timeout_ms / 1000,
         )
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -17,6 +17,7 @@
 from tornado import httpclient
 
 from goldcrestproxy import errors
+from goldcrestproxy.targets import answer_body
 from goldcrestproxy.targets import answer_head
 from goldcrestproxy.targets import connections as open_connections
 from goldcrestproxy.targets import handles as transfer_handles
@@ -150,6 +151,8 @@
         self._resend_prevented = False
         self._may_send = may_send
         self._head_reader = answer_head.HeadReader(request.method)
+        # None until the head is complete.
+        self._body_reader: answer_body.BodyReader | None = None
         # Why the transfer was aborted here, if it was.
         self._malformed: answer_head.MalformedAnswerError | None = None
         self._curl: pycurl.Curl | None = None
@@ -185,10 +188,16 @@
         if error is not None:
             self._fail(*error)
             return
-        if self._head_reader.head is None:
+        if self._body_reader is None:
             # libcurl reports a success here.
             self._fail(0, "the answer broke off in its head")
             return
+        try:
+            self._body_reader.end()
+        except answer_head.MalformedAnswerError as malformed:
+            self._malformed = malformed
+            self._fail(0, str(malformed))
+            return
         self._set_head()
         self.answer_body.finish()
 
@@ -273,6 +282,9 @@
         curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        # The body reader decodes chunks; libcurl takes what follows the
+        # digits of a size for an extension, and trailers for headers.
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body_chunk)
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
@@ -323,20 +335,25 @@
         return int(self._cancelled)
 
     def _on_header(self, line: bytes) -> int | None:
-        if self._head_reader.head is not None:
-            # A trailer (RFC 9112, section 7.1.2): no part of the head.
-            return None
         try:
             self._head_reader.feed(line)
         except answer_head.MalformedAnswerError as malformed:
-            self._malformed = malformed
-            return ABORT
+            return self._abort_malformed(malformed)
         head = self._head_reader.head
-        if head is not None and not self._is_expected(head):
+        if head is None:
+            return None
+        if not self._is_expected(head):
             self.mismatched = True
             return ABORT
+        self._body_reader = answer_body.BodyReader(head.framing)
         return None
 
+    def _abort_malformed(
+        self, malformed: answer_head.MalformedAnswerError
+    ) -> int:
+        self._malformed = malformed
+        return ABORT
+
     def _is_expected(self, head: answer_head.AnswerHead) -> bool:
         if self._expected_header is None:
             return True
@@ -349,14 +366,18 @@
             self.head.set_result(head)
 
     def _on_body_chunk(self, chunk: bytes) -> int:
-        if self._head_reader.head is None:
+        if self._body_reader is None:
             return ABORT
-        self._set_head()
         if self.answer_body.full:
             self._receive_paused = True
             self.answer_body.on_read = self._resume_receive
             return pycurl.WRITEFUNC_PAUSE
-        self.answer_body.feed(chunk)
+        try:
+            part = self._body_reader.feed(chunk)
+        except answer_head.MalformedAnswerError as malformed:
+            return self._abort_malformed(malformed)
+        self._set_head()
+        self.answer_body.feed(part)
         return len(chunk)
 
     def _next_body_chunk(self, size_bytes: int) -> bytes | int:
--- a/tests/entries/test_malformed_answers.py
+++ b/tests/entries/test_malformed_answers.py
@@ -5,6 +5,8 @@
 import asyncio
 
 import attrs
+import hypothesis
+from hypothesis import strategies as st
 import malformed_answers as malformed
 import pytest
 import test_early_answers
@@ -13,6 +15,7 @@
 from goldcrestproxy.routing import fleet_retries
 
 LEFT_S = 2.0
+LONG_BODY = bytes(200_000)
 
 
 def answering(raw_answer, *, pieces=False, reused=False):
@@ -51,12 +54,12 @@
 
 
 @pytest.mark.parametrize("pieces", [False, True])
-@pytest.mark.parametrize("raw_answer", malformed.HEADS)
+@pytest.mark.parametrize("raw_answer", malformed.ANSWERS)
 def test_a_malformed_answer_is_no_answer(raw_answer, pieces):
     assert read(raw_answer, pieces=pieces) is None
 
 
-@pytest.mark.parametrize("raw_answer", malformed.HEADS)
+@pytest.mark.parametrize("raw_answer", malformed.ANSWERS)
 def test_a_malformed_answer_on_a_kept_connection_is_no_answer(raw_answer):
     assert read(raw_answer, reused=True) is None
 
@@ -102,6 +105,14 @@
     test_sending.run(answering(raw_answer), scenario)
 
 
+def test_a_long_body_with_a_malformed_chunk_is_cut():
+    chunk = b"%x\r\n%b\r\n" % (len(LONG_BODY), LONG_BODY)
+    raw_answer = malformed.with_chunks(
+        chunk + b"9zz\r\nthe whole\r\n0\r\n\r\n"
+    )
+    assert read(raw_answer) is None
+
+
 def test_an_empty_answer_with_a_body_makes_no_other_answer():
     """Bytes after the head of a 204 belong to no request."""
     second = malformed.with_length(b"5", b"other")
@@ -120,3 +131,20 @@
         assert (await attempts.send(LEFT_S)).body == malformed.BODY
 
     test_sending.run(respond, scenario)
+
+
+@hypothesis.settings(max_examples=150, deadline=None)
+@hypothesis.given(
+    sound=st.sampled_from(malformed.SOUND),
+    at=st.integers(0, 200),
+    replaced=st.integers(0, 2),
+    inserted=st.sampled_from(
+        [*(bytes([n]) for n in range(256)), b"\r\n", b"\r\n ", b""]
+    ),
+)
+def test_whatever_is_spoilt_comes_out_whole_or_not_at_all(
+    sound, at, replaced, inserted
+):
+    spoilt = sound[:at] + inserted + sound[at + replaced :]
+    found = read(spoilt)
+    assert found is None or found == malformed.read_strictly(spoilt)
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import re
+
 BODY = b"the whole body of the answer"
 LENGTH = b"%d" % len(BODY)
 START = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Signature: t1.sig\r\n"
@@ -58,6 +60,23 @@
     *(b"xchunked", b"chunkedx", b"chunk", b"", b"chunked, gzip", b"gzip"),
     *(b"chunked, chunked", b"identity", b"chunked;q=1", b"chunked,", b"?"),
 ]
+CHUNK_FORMS = [
+    b"9zz\r\nthe whole\r\n" + LAST_CHUNK,
+    b"9\r\nthe whole\r\n0zz\r\n\r\n",
+    b"x\r\n" + LAST_CHUNK,
+    b"-9\r\nthe whole\r\n" + LAST_CHUNK,
+    b"9\r\nthe whole body\r\n" + LAST_CHUNK,
+    b"9\r\nthe whole" + LAST_CHUNK,
+    b"9\r\nthe whole\r\n",
+    b"9\r\nthe whole\r\n0\r\n",
+    b"1" + b"0" * 16 + b"9\r\nthe whole\r\n" + LAST_CHUNK,
+    b"",
+    CHUNKS,
+    CHUNKS + b"0\r\nno field\r\n\r\n",
+    CHUNKS + b"0\r\nX: a\x00b\r\n\r\n",
+    CHUNKS + b"0\r\nHTTP/1.1 503 Busy\r\n\r\n",
+    CHUNKS + b"0\r\nX: y\r\n",
+]
 INTERIM = b"HTTP/1.1 103 Hints\r\n"
 HEADS = [
     *map(with_length, LENGTHS),
@@ -88,6 +107,7 @@
     START + b" Content-Length: 28\r\n\r\n" + BODY[:9],
     START + b"X: y\r\n\tTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
 ]
+ANSWERS = [*HEADS, *map(with_chunks, CHUNK_FORMS)]
 # Those of answers that say that they did not run, which they did.
 REFUSALS = [
     answer.replace(b"200 OK", b"503 Busy\r\nNot-Executed: 1")
@@ -118,3 +138,74 @@
     START.replace(b"/1.1", b"/1.0") + b"\r\n" + BODY,
     INTERIM + b"Link: </a>\r\n\r\n" + with_length(LENGTH),
 ]
+
+_HEAD = re.compile(
+    rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-9][0-9]{2})"
+    rb"(?: [\t -~\x80-\xff]*)?(?P<end>\r?\n)"
+    rb"(?P<fields>(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*(?P=end))*)"
+    rb"(?P=end)"
+)
+_CHUNK = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[\t -~\x80-\xff]*)?\r\n")
+_TRAILERS = re.compile(
+    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*\r\n)*\r\n"
+)
+
+
+def read_strictly(raw):
+    """Return the body of an answer with one, None if it is malformed.
+
+    Reads the whole of what a connection carried at once, by RFC 9112,
+    sections 4, 5, 6.3 and 7.1, and joins lines as section 5.2 allows.
+    """
+    while True:
+        head_end = re.search(rb"\n\r?\n", raw)
+        if head_end is None:
+            return None
+        body = raw[head_end.end() :]
+        joined = re.sub(rb"\r?\n[ \t]+", b" ", raw[: head_end.end()])
+        head = _HEAD.fullmatch(joined)
+        if head is None:
+            return None
+        fields = [
+            (name.lower(), value.strip(b" \t"))
+            for line in head["fields"].splitlines()
+            for name, _, value in [line.partition(b":")]
+        ]
+        if int(head["status"]) >= 200:
+            break
+        if int(head["status"]) == 101:
+            return None
+        raw = body
+    codings = [v for name, v in fields if name == b"transfer-encoding"]
+    lengths = {
+        part.strip(b" \t")
+        for name, value in fields
+        if name == b"content-length"
+        for part in value.split(b",")
+    }
+    if head["status"] in (b"204", b"304"):
+        return b""
+    if codings:
+        lone = len(codings) == 1 and codings[0].lower() == b"chunked"
+        if not lone or lengths or head["minor"] == b"0":
+            return None
+        return _read_chunks(body)
+    if not lengths:
+        return body
+    if len(lengths) > 1 or not re.fullmatch(rb"[0-9]{1,30}", min(lengths)):
+        return None
+    length = int(min(lengths))
+    return body[:length] if length <= len(body) else None
+
+
+def _read_chunks(data):
+    body = b""
+    while (chunk := _CHUNK.match(data)) is not None:
+        size, data = int(chunk[1], 16), data[chunk.end() :]
+        if not size:
+            return body if _TRAILERS.match(data) else None
+        body, data = body + data[:size], data[size:]
+        if not data.startswith(b"\r\n"):
+            return None
+        data = data[2:]
+    return None
--- a/tests/system/test_malformed_answers_of_targets.py
+++ b/tests/system/test_malformed_answers_of_targets.py
@@ -18,6 +18,7 @@
     malformed.with_line(b"Transfer-Encoding: gzip"),
     malformed.with_coding(b""),
     malformed.START + b"Keep-Alive: timeout=10\r\n\r\n" + malformed.BODY[:9],
+    malformed.with_chunks(b"9zz\r\nthe whole\r\n0\r\n\r\n"),
     malformed.with_length(malformed.LENGTH).replace(b"HTTP/1.1", b"HTTP/2.0"),
 ]
 
@@ -85,7 +86,7 @@
         # The target's other requests are served again.
         received = exchange_until_run(fleet, sound)
         assert received.startswith(b"HTTP/1.1 200 ")
-        assert received.endswith(b"\r\n\r\n" + malformed.BODY)
+        assert malformed.read_strictly(received) == malformed.BODY
     log = fleet.logs["entry-0"].read_text()
     assert "content-length: '99999" in log
     assert "Traceback" not in log
--- a/tests/callers/test_chunked_body.py
+++ b/tests/test_chunk_decoder.py
@@ -9,15 +9,15 @@
 import pytest
 from tornado import httputil
 
-from goldcrestproxy.callers import chunked_body
+from goldcrestproxy import chunk_decoder
 
 
 def encode(chunks):
     return b"".join(b"%x\r\n%s\r\n" % (len(c), c) for c in chunks if c)
 
 
-def decode(pieces, chunks_max=chunked_body.CHUNKS_PER_TURN):
-    decoder = chunked_body.ChunkDecoder()
+def decode(pieces, chunks_max=chunk_decoder.CHUNKS_PER_TURN):
+    decoder = chunk_decoder.ChunkDecoder()
     body = b""
     for piece in pieces:
         body += decoder.feed(piece, chunks_max)
@@ -73,9 +73,9 @@
 
 
 def test_a_turn_decodes_a_bounded_number_of_chunks():
-    decoder = chunked_body.ChunkDecoder()
+    decoder = chunk_decoder.ChunkDecoder()
     sent = encode([b"x"] * 1000)
-    assert len(decoder.feed(sent)) == chunked_body.CHUNKS_PER_TURN
+    assert len(decoder.feed(sent)) == chunk_decoder.CHUNKS_PER_TURN
     assert decoder.undecoded
-    assert len(decoder.feed(b"")) == 1000 - chunked_body.CHUNKS_PER_TURN
+    assert len(decoder.feed(b"")) == 1000 - chunk_decoder.CHUNKS_PER_TURN
     assert not decoder.undecoded
