Count malformed answers by the rule that they broke

Cause: a malformed answer looked like a connection that broke, and the log line of the request was the only trace of it.

Answers that turn out to be malformed after their start was handed on are in the log only.

Tests: test_malformed_answers_are_retried_and_counted, test_the_rule_that_a_malformed_answer_broke_is_known.

--- a/src/goldcrestproxy/entries/dispatcher.py
+++ b/src/goldcrestproxy/entries/dispatcher.py
@@ -287,6 +287,10 @@
             except sending.SendError as error:
                 state.awaiting_answer = False
                 state.failures.append(error.failure)
+                if error.broken_rule is not None:
+                    self._metrics.malformed_answers.add(
+                        1, {"rule": error.broken_rule.value}
+                    )
                 state.answer = error.answer or state.answer
                 if not self._may_retry(state, error.failure):
                     if state.answer is not None:
--- a/src/goldcrestproxy/entries/sending.py
+++ b/src/goldcrestproxy/entries/sending.py
@@ -35,6 +35,7 @@
 
     ``answer`` is the answer of a target that reported a failure itself.
     ``may_have_crashed`` is whether the target may have ended by the request.
+    ``broken_rule`` is the rule that a malformed answer broke.
     """
 
     def __init__(
@@ -43,11 +44,13 @@
         answer: fleet_request.FleetAnswer | None = None,
         *,
         may_have_crashed: bool = False,
+        broken_rule: targets.AnswerRule | None = None,
     ) -> None:
         """Store whether the request may have run, and the answer if any."""
         self.failure = failure
         self.answer = answer
         self.may_have_crashed = may_have_crashed
+        self.broken_rule = broken_rule
         super().__init__(str(failure))
 
 
@@ -216,7 +219,9 @@
                 transfer, target, error, failure, waited_s * 1000
             )
             raise SendError(
-                failure, may_have_crashed=_may_have_crashed(transfer, failure)
+                failure,
+                may_have_crashed=_may_have_crashed(transfer, failure),
+                broken_rule=error.broken_rule,
             ) from error
         except SendError:
             raise
--- a/src/goldcrestproxy/targets/answer_head.py
+++ b/src/goldcrestproxy/targets/answer_head.py
@@ -53,6 +53,7 @@
     TRANSFER_ENCODING = "transfer-encoding"
     CHUNK = "chunk"
     BODY_LENGTH = "body-length"
+    REJECTED_BY_LIBCURL = "libcurl"
 
 
 class MalformedAnswerError(errors.GoldcrestProxyError):
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -32,6 +32,12 @@
 # Makes libcurl abort the transfer and close its connection.
 ABORT: ty.Final = -1
 RESET_CODES: ty.Final = (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
+# What libcurl itself rejects before it passes it on.
+MALFORMED_CODES: ty.Final = (
+    pycurl.E_FTP_WEIRD_SERVER_REPLY,
+    pycurl.E_UNSUPPORTED_PROTOCOL,
+    pycurl.E_BAD_CONTENT_ENCODING,
+)
 
 
 class Stage(enum.Enum):
@@ -52,17 +58,20 @@
         *,
         mismatched: bool = False,
         was_reset: bool = False,
+        broken_rule: answer_head.Rule | None = None,
     ) -> None:
         """Create an error.
 
         :param curl_code: libcurl's, 0 if it has none
         :param mismatched: whether an answer to another request arrived
         :param was_reset: whether the connection was lost without an answer
+        :param broken_rule: the rule that a malformed answer broke
         """
         self.stage = stage
         self.curl_code = curl_code
         self.mismatched = mismatched
         self.was_reset = was_reset
+        self.broken_rule = broken_rule
         super().__init__(f"{text} (curl error {curl_code}, {stage.value})")
 
     @property
@@ -267,12 +276,20 @@
             text,
             mismatched=self.mismatched,
             was_reset=self._resend_prevented or code in RESET_CODES,
+            broken_rule=self._broken_rule(code),
         )
         if not self.head.done():
             self.head.set_exception(error)
             self.head.exception()
         self.answer_body.fail(error)
 
+    def _broken_rule(self, code: int) -> answer_head.Rule | None:
+        if self._malformed is not None:
+            return self._malformed.rule
+        if code in MALFORMED_CODES and self.stage is Stage.SENT:
+            return answer_head.Rule.REJECTED_BY_LIBCURL
+        return None
+
     def _configure_curl(self, curl: pycurl.Curl) -> None:
         self._curl = curl
         curl.setopt(pycurl.NOSIGNAL, 1)
--- a/src/goldcrestproxy/telemetry/metrics.py
+++ b/src/goldcrestproxy/telemetry/metrics.py
@@ -51,6 +51,10 @@
             description="Requests whose target could not get them any more "
             "when they were to be sent, by reason.",
         )
+        self.malformed_answers = meter.create_counter(
+            "goldcrestproxy.malformed_answers",
+            description="Answers of targets that break HTTP/1.1, by rule.",
+        )
         self.passed_on = meter.create_counter(
             "goldcrestproxy.passed_on",
             description="Requests that another entry host was asked to send.",
--- a/tests/entries/test_dispatcher.py
+++ b/tests/entries/test_dispatcher.py
@@ -28,6 +28,7 @@
 from goldcrestproxy.routing import target_choice
 from goldcrestproxy.routing import target_contact
 from goldcrestproxy import settings
+from goldcrestproxy import targets
 from goldcrestproxy import telemetry
 from goldcrestproxy import wire
 
@@ -311,6 +312,20 @@
     assert sender.sent == 2
 
 
+def test_malformed_answers_are_retried_and_counted():
+    fleet = FakeFleet(SAFE)
+    malformed = sending.SendError(
+        fleet_retries.MaybeRun(text="content-length"),
+        broken_rule=targets.AnswerRule.CONTENT_LENGTH,
+    )
+    dispatcher = make_dispatcher(fleet, FakeSender(fleet, [malformed, ANSWER]))
+    named_route = dispatcher.find_route(REQUEST)
+    answer = asyncio.run(dispatcher.dispatch(REQUEST, named_route))
+    assert answer is ANSWER
+    totals = dispatcher._metrics.read_totals()
+    assert totals["goldcrestproxy.malformed_answers"] == 1
+
+
 @pytest.mark.parametrize("kind", [SAFE, UNSAFE])
 def test_retry_at_the_same_target_uses_a_new_connection(kind):
     """An earlier refusal that is written again has the same id."""
--- a/tests/entries/test_malformed_answers.py
+++ b/tests/entries/test_malformed_answers.py
@@ -12,6 +12,7 @@
 import test_early_answers
 import test_sending
 
+from goldcrestproxy.entries import sending
 from goldcrestproxy.routing import fleet_retries
 
 LEFT_S = 2.0
@@ -133,6 +134,17 @@
     test_sending.run(respond, scenario)
 
 
+def test_the_rule_that_a_malformed_answer_broke_is_known():
+    async def scenario(attempts):
+        with pytest.raises(sending.SendError) as caught:
+            await attempts.send(LEFT_S)
+        assert caught.value.broken_rule.value == "content-length"
+        assert "exceeds" in str(caught.value)
+        assert len(str(caught.value)) < 300
+
+    test_sending.run(answering(malformed.with_length(b"9" * 5000)), scenario)
+
+
 @hypothesis.settings(max_examples=150, deadline=None)
 @hypothesis.given(
     sound=st.sampled_from(malformed.SOUND),
