Read answers in the soak and the tests no more leniently than callers

The soak's reader took the last of several lengths, lines without a colon and whatever int() converts, and http.client reads an answer with an invalid length until the connection is closed. Both would have called a malformed answer of an entry host a sound one.

The soak's reader now has one form for each line, and reports anything else as MIXED. The tests' client checks that an answer tells its end once.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import re
 import resource
 import signal
 import subprocess
@@ -309,11 +310,29 @@
             method, path, body, headers or {}, encode_chunked=chunked
         )
         answer = connection.getresponse()
+        check_framed(answer, method)
         return answer.status, answer.read(), dict(answer.getheaders())
     finally:
         connection.close()
 
 
+def check_framed(answer, method):
+    """Check that an answer tells its end, once and without doubt.
+
+    http.client reads others until the connection is closed.
+    """
+    headers = answer.headers
+    assert not headers.defects, headers.defects
+    if method == "HEAD" or answer.status in (204, 304):
+        return
+    framings = [
+        *(headers.get_all("Content-Length") or []),
+        *(headers.get_all("Transfer-Encoding") or []),
+    ]
+    assert len(framings) == 1, framings
+    assert re.fullmatch(r"[0-9]+|chunked", framings[0]), framings
+
+
 def items(version=1, *, timeout_ms=30_000):
     """Return a configuration with one keyed and one pooled service."""
     route = {
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import re
 import time
 
 import attrs
@@ -24,6 +25,10 @@
 OBSERVATION_INTERVAL_S = 0.05
 # Code of the refusal of a keyed request without a key.
 NO_KEY_CODE = 2002
+STATUS_LINE = re.compile(rb"HTTP/1\.1 ([2-9][0-9]{2}) [\t -~]*")
+FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t -~\x80-\xff]*)")
+LENGTH = re.compile(rb"[0-9]+")
+CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]+")
 
 
 @attrs.frozen(kw_only=True)
@@ -251,22 +256,47 @@
 
     :param on_head: called when the head has been read
     :raises EOFError: when the connection ends before that
+    :raises AssertionError: when it breaks a rule of HTTP/1.1
     """
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    head = await reader.readuntil(b"\r\n\r\n")
     on_head()
-    first, *lines = head.split("\r\n")
+    first, *lines = head.removesuffix(b"\r\n\r\n").split(b"\r\n")
+    status = _match(STATUS_LINE, first)[1]
     headers = {}
-    for line in filter(None, lines):
-        name, _, value = line.partition(":")
-        headers[name.lower()] = value.strip()
-    if headers.get("transfer-encoding", "").lower() == "chunked":
+    for line in lines:
+        name, value = _match(FIELD_LINE, line).groups()
+        headers.setdefault(name.decode().lower(), []).append(
+            value.decode("latin1").strip(" \t")
+        )
+    lengths = headers.get("content-length", [])
+    if codings := headers.get("transfer-encoding", []):
+        assert not lengths, f"MIXED: two framings in {head!r}"
+        assert codings == ["chunked"], f"MIXED: framing of {head!r}"
         body = b""
-        while size := int(await reader.readuntil(b"\r\n"), 16):
+        while size := await _read_chunk_size(reader):
             body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readexactly(2)
+        assert await reader.readexactly(2) == b"\r\n", "MIXED: last chunk"
     else:
-        body = await reader.readexactly(int(headers["content-length"]))
-    return int(first.split(" ")[1]), headers, body
+        assert len(lengths) == 1, f"MIXED: no framing in {head!r}"
+        body = await reader.readexactly(
+            int(_match(LENGTH, lengths[0].encode())[0])
+        )
+    return (
+        int(status),
+        {name: ", ".join(values) for name, values in headers.items()},
+        body,
+    )
+
+
+async def _read_chunk_size(reader):
+    line = (await reader.readuntil(b"\r\n")).removesuffix(b"\r\n")
+    return int(_match(CHUNK_SIZE, line)[0], 16)
+
+
+def _match(pattern, line):
+    match = pattern.fullmatch(line)
+    assert match is not None, f"MIXED: {line!r} in an answer"
+    return match
 
 
 @attrs.define
--- a/tests/system/test_soak_checks.py
+++ b/tests/system/test_soak_checks.py
@@ -6,6 +6,7 @@
 import collections
 import signal
 
+import malformed_answers as malformed
 import pytest
 from soak import callers
 from soak import checks
@@ -386,3 +387,26 @@
 def test_a_new_process_may_be_behind_the_one_before():
     sightings = [sighting(3, 20.2, found=True), sighting(2, 20.8, found=True)]
     assert not versions_checked(sightings, {"entry-0": [20.5]})
+
+
+async def read_answer(raw_answer):
+    reader = asyncio.StreamReader()
+    reader.feed_data(raw_answer)
+    reader.feed_eof()
+    return await callers._read_answer(reader)
+
+
+@pytest.mark.parametrize("raw_answer", malformed.ANSWERS)
+def test_callers_of_the_soak_take_no_malformed_answer(raw_answer):
+    with pytest.raises((AssertionError, EOFError)):
+        asyncio.run(read_answer(raw_answer))
+
+
+def test_callers_of_the_soak_read_both_framings():
+    for raw_answer in (
+        malformed.with_length(malformed.LENGTH),
+        malformed.with_chunks(b"1c\r\n" + malformed.BODY + b"\r\n0\r\n\r\n"),
+    ):
+        status, headers, body = asyncio.run(read_answer(raw_answer))
+        assert (status, body) == (200, malformed.BODY)
+        assert headers["response-signature"] == "t1.sig"
