--- a/src/goldcrestproxy/targets/answer_head.py
+++ b/src/goldcrestproxy/targets/answer_head.py
@@ -203,10 +203,12 @@
     """
     codings = headers.get_list("Transfer-Encoding")
     lengths = headers.get_list("Content-Length")
-    if status < FINAL_STATUS_MIN and (codings or lengths):
-        raise MalformedAnswerError(
-            Rule.CONTENT_LENGTH, f"a body is announced by a {status}"
-        )
+    if status < FINAL_STATUS_MIN:
+        if codings or lengths:
+            raise MalformedAnswerError(
+                Rule.CONTENT_LENGTH, f"a body is announced by a {status}"
+            )
+        return NoBody()
     length_bytes = _read_length(lengths)
     if codings:
         _check_codings(codings, lengths, minor_version)
@@ -216,8 +218,7 @@
         return ChunkedBody()
     if length_bytes is not None:
         return SizedBody(body_bytes=length_bytes)
-    if status >= FINAL_STATUS_MIN:
-        _check_without_length(headers)
+    _check_without_length(headers)
     return BodyUntilClose()
 
 
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -384,6 +384,7 @@
 
     def _on_body_chunk(self, chunk: bytes) -> int:
         if self._body_reader is None:
+            # libcurl saw the end of a head that is not final.
             return ABORT
         if self.answer_body.full:
             self._receive_paused = True
