Log malformed answers of coordinated targets with their request

In the own interface a malformed answer left no log line, only the text of the refusal at the caller. The coordinator now logs the request's id, the target, the rule and what was found.

test_a_malformed_answer_leaves_a_log_line_with_its_request in system/test_bad_input.py found no line before. Its counterpart for the platform's interface passed: the request's own line has the rule. Both check that no traceback is printed. Joined lines in answers to HEAD are sound or malformed by the version of libcurl; the test allows both there.

--- a/src/goldcrestproxy/entries/coordinated_target.py
+++ b/src/goldcrestproxy/entries/coordinated_target.py
@@ -22,6 +22,7 @@
 from goldcrestproxy.routing import rest_time
 from goldcrestproxy import targets
 from goldcrestproxy.targets import protocol
+from goldcrestproxy import telemetry
 from goldcrestproxy import wire
 
 LOG = logging.getLogger(__name__)
@@ -460,6 +461,16 @@
         self.agent.wake()
         if error.stage is targets.Stage.NOT_SENT or error.mismatched:
             return
+        if error.broken_rule is not None:
+            telemetry.log_event(
+                LOG,
+                "entries: malformed answer",
+                level=logging.WARNING,
+                request_id=request.request_id,
+                target=self.target,
+                rule=error.broken_rule.value,
+                text=str(error),
+            )
         if error.timed_out:
             self.limit.record_timeout()
             self._cancel_at_target(request)
