--- a/src/goldcrestproxy/chunk_decoder.py
+++ b/src/goldcrestproxy/chunk_decoder.py
@@ -66,7 +66,7 @@
                 if line is None:
                     break
                 position += len(line) + len(_LINE_END)
-                self._read_trailer(line)
+                self._read_trailer(line, self.check_trailer)
                 continue
             if self._awaits_line_end or self._awaits_last_line:
                 end = data[position : position + len(_LINE_END)]
@@ -126,7 +126,9 @@
             )
         return int(match.group(1), 16)
 
-    def _read_trailer(self, line: bytes) -> None:
+    def _read_trailer(
+        self, line: bytes, check: ty.Callable[[bytes], None]
+    ) -> None:
         """Check a trailer; an empty line is the end of the body."""
         self._trailer_bytes += len(line)
         if self._trailer_bytes > TRAILER_BYTES_MAX:
@@ -134,6 +136,6 @@
                 f"the trailers exceed {TRAILER_BYTES_MAX} bytes"
             )
         if line:
-            ty.cast(ty.Any, self.check_trailer)(line)
+            check(line)
         else:
             self.ended = True
--- a/src/goldcrestproxy/targets/__init__.py
+++ b/src/goldcrestproxy/targets/__init__.py
@@ -5,7 +5,7 @@
 from goldcrestproxy.targets.agent import AgentTimes
 from goldcrestproxy.targets.agent import TargetAgent
 from goldcrestproxy.targets.answer_head import AnswerHead
-from goldcrestproxy.targets.answer_head import Rule as AnswerRule
+from goldcrestproxy.targets.answer_head import AnswerRule
 from goldcrestproxy.targets.client import TargetClient
 from goldcrestproxy.targets.conventions import AnswerMetadata
 from goldcrestproxy.targets.conventions import HeaderConventions
--- a/src/goldcrestproxy/targets/answer_body.py
+++ b/src/goldcrestproxy/targets/answer_body.py
@@ -50,13 +50,13 @@
         match self.framing:
             case answer_head.ChunkedBody() if not self._decoder.ended:
                 raise answer_head.MalformedAnswerError(
-                    answer_head.Rule.CHUNK, "the last chunk is missing"
+                    answer_head.AnswerRule.CHUNK, "the last chunk is missing"
                 )
             case answer_head.SizedBody(body_bytes=body_bytes) if (
                 self._received_bytes < body_bytes
             ):
                 raise answer_head.MalformedAnswerError(
-                    answer_head.Rule.BODY_LENGTH,
+                    answer_head.AnswerRule.BODY_LENGTH,
                     f"{self._received_bytes} of {body_bytes} bytes arrived",
                 )
             case _:
@@ -66,7 +66,7 @@
         self._received_bytes += len(data)
         if self._received_bytes > body_bytes:
             raise answer_head.MalformedAnswerError(
-                answer_head.Rule.BODY_LENGTH,
+                answer_head.AnswerRule.BODY_LENGTH,
                 f"{self._received_bytes} bytes arrived of {body_bytes}",
             )
 
@@ -77,5 +77,5 @@
             return self._decoder.feed(data, chunks_max=len(data))
         except httputil.HTTPInputError as error:
             raise answer_head.MalformedAnswerError(
-                answer_head.Rule.CHUNK, str(error)
+                answer_head.AnswerRule.CHUNK, str(error)
             ) from error
--- a/src/goldcrestproxy/targets/answer_head.py
+++ b/src/goldcrestproxy/targets/answer_head.py
@@ -1,8 +1,8 @@
 """Heads of targets' answers, and where the bodies after them end.
 
 Follows RFC 9112, sections 4, 5 and 6.3. Where the RFC lets a recipient repair
-a malformed head, the head is rejected instead: what is left of a field that
-broke may be another one, or another value.
+a malformed head, the head is rejected instead: a corrupted field can look like
+a valid one of another name or value.
 """
 
 from __future__ import annotations
@@ -42,7 +42,7 @@
 )
 
 
-class Rule(enum.Enum):
+class AnswerRule(enum.Enum):
     """Rules for answers; the values name them in logs and metrics."""
 
     HEAD_SIZE = "head-size"
@@ -59,7 +59,7 @@
 class MalformedAnswerError(errors.GoldcrestProxyError):
     """An answer breaks a rule, so nothing in it can be relied on."""
 
-    def __init__(self, rule: Rule, text: str) -> None:
+    def __init__(self, rule: AnswerRule, text: str) -> None:
         """Store the rule that was broken."""
         self.rule = rule
         super().__init__(f"{rule.value}: {text}")
@@ -138,16 +138,17 @@
         self._head_bytes += len(line) + HEADER_BYTES
         if self._head_bytes > HEAD_BYTES_MAX:
             raise MalformedAnswerError(
-                Rule.HEAD_SIZE,
+                AnswerRule.HEAD_SIZE,
                 f"the head of the answer exceeds {HEAD_BYTES_MAX} bytes",
             )
         if self.head is not None:
-            raise _malformed(Rule.STATUS_LINE, line, "the body")
+            # Trailers belong to the body, which libcurl passes on undecoded.
+            raise _malformed(AnswerRule.STATUS_LINE, line, "the body")
         if not self._status:
             self._read_status_line(line)
             return
         if not line.endswith(self._line_end):
-            raise _malformed(Rule.LINE_END, line, repr(self._line_end))
+            raise _malformed(AnswerRule.LINE_END, line, repr(self._line_end))
         text = line[: -len(self._line_end)]
         if text:
             self._read_field_line(text)
@@ -155,23 +156,24 @@
             self._end_head()
 
     def _read_status_line(self, line: bytes) -> None:
-        # RFC 9112, section 2.2 allows a single LF. One in a head of CRLFs is
-        # the remainder of something else.
+        # RFC 9112, section 2.2 allows lines that end with LF. A head with
+        # both ends is corrupted: a single LF may have ended it too early.
         self._line_end = b"\r\n" if line.endswith(b"\r\n") else b"\n"
         match = _STATUS_LINE.fullmatch(line.removesuffix(self._line_end))
         if match is None:
-            raise _malformed(Rule.STATUS_LINE, line, "a status line")
+            raise _malformed(AnswerRule.STATUS_LINE, line, "a status line")
         if not line.endswith(b"\n"):
-            raise _malformed(Rule.LINE_END, line, "the end of the line")
+            raise _malformed(AnswerRule.LINE_END, line, "the end of the line")
         self._minor_version = int(match.group(1))
         self._status = int(match.group(2))
         if self._status == STATUS_SWITCHING_PROTOCOLS:
-            raise _malformed(Rule.STATUS_LINE, line, "no switch of protocols")
+            # It was not requested, and another protocol would follow.
+            raise _malformed(AnswerRule.STATUS_LINE, line, "an answer in HTTP")
 
     def _read_field_line(self, text: bytes) -> None:
         match = _FIELD_LINE.fullmatch(text)
         if match is None:
-            raise _malformed(Rule.FIELD_LINE, text, "NAME: VALUE")
+            raise _malformed(AnswerRule.FIELD_LINE, text, "NAME: VALUE")
         name, value = match.groups()
         self._headers.add(
             name.decode("latin1"), value.decode("latin1").strip(_WHITESPACE)
@@ -206,7 +208,7 @@
     if status < FINAL_STATUS_MIN:
         if codings or lengths:
             raise MalformedAnswerError(
-                Rule.CONTENT_LENGTH, f"a body is announced by a {status}"
+                AnswerRule.CONTENT_LENGTH, f"a body is announced by a {status}"
             )
         return NoBody()
     length_bytes = _read_length(lengths)
@@ -226,12 +228,14 @@
     """Check that a head without a length has not lost it."""
     if _keeps_connection(headers):
         raise MalformedAnswerError(
-            Rule.CONTENT_LENGTH, "no length, but the connection is to be kept"
+            AnswerRule.CONTENT_LENGTH,
+            "no length, but the connection is to be kept",
         )
     for name, value in headers.get_all():
         if _JOINED_FRAMING.search(value):
             raise MalformedAnswerError(
-                Rule.FIELD_LINE, f"{name} holds another field: {_shown(value)}"
+                AnswerRule.FIELD_LINE,
+                f"{name} holds another field: {_shown(value)}",
             )
 
 
@@ -255,17 +259,17 @@
     value = ", ".join(codings)
     if lengths:
         raise MalformedAnswerError(
-            Rule.TRANSFER_ENCODING,
+            AnswerRule.TRANSFER_ENCODING,
             f"{_shown(value)} beside a Content-Length",
         )
     if minor_version < 1:
         raise MalformedAnswerError(
-            Rule.TRANSFER_ENCODING, f"{_shown(value)} in HTTP/1.0"
+            AnswerRule.TRANSFER_ENCODING, f"{_shown(value)} in HTTP/1.0"
         )
     # No other coding was offered to the target.
     if value.lower() != "chunked":
         raise MalformedAnswerError(
-            Rule.TRANSFER_ENCODING, f"{_shown(value)} instead of chunked"
+            AnswerRule.TRANSFER_ENCODING, f"{_shown(value)} instead of chunked"
         )
 
 
@@ -284,12 +288,13 @@
     first = min(values)
     if len(values) > 1 or not _LENGTH.fullmatch(first):
         raise MalformedAnswerError(
-            Rule.CONTENT_LENGTH, f"{_shown(', '.join(lengths))} is no length"
+            AnswerRule.CONTENT_LENGTH,
+            f"{_shown(', '.join(lengths))} is no length",
         )
-    # Bounds the digits that are converted, too.
+    # int() refuses thousands of digits.
     if len(first) > len(str(LENGTH_MAX)) or int(first) > LENGTH_MAX:
         raise MalformedAnswerError(
-            Rule.CONTENT_LENGTH, f"{_shown(first)} exceeds {LENGTH_MAX}"
+            AnswerRule.CONTENT_LENGTH, f"{_shown(first)} exceeds {LENGTH_MAX}"
         )
     return int(first)
 
@@ -300,11 +305,11 @@
     :raises MalformedAnswerError: if it is no field
     """
     if not _FIELD_LINE.fullmatch(line):
-        raise _malformed(Rule.FIELD_LINE, line, "NAME: VALUE")
+        raise _malformed(AnswerRule.FIELD_LINE, line, "NAME: VALUE")
 
 
 def _malformed(
-    rule: Rule, found: bytes, expected: str
+    rule: AnswerRule, found: bytes, expected: str
 ) -> MalformedAnswerError:
     return MalformedAnswerError(rule, f"{_shown(found)} instead of {expected}")
 
--- a/src/goldcrestproxy/targets/transfer.py
+++ b/src/goldcrestproxy/targets/transfer.py
@@ -32,7 +32,8 @@
 # Makes libcurl abort the transfer and close its connection.
 ABORT: ty.Final = -1
 RESET_CODES: ty.Final = (pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR)
-# What libcurl itself rejects before it passes it on.
+# Codes of heads that libcurl rejects itself. The first is its general code
+# for malformed answers, under its older name.
 MALFORMED_CODES: ty.Final = (
     pycurl.E_FTP_WEIRD_SERVER_REPLY,
     pycurl.E_UNSUPPORTED_PROTOCOL,
@@ -58,7 +59,7 @@
         *,
         mismatched: bool = False,
         was_reset: bool = False,
-        broken_rule: answer_head.Rule | None = None,
+        broken_rule: answer_head.AnswerRule | None = None,
     ) -> None:
         """Create an error.
 
@@ -283,11 +284,11 @@
             self.head.exception()
         self.answer_body.fail(error)
 
-    def _broken_rule(self, code: int) -> answer_head.Rule | None:
+    def _broken_rule(self, code: int) -> answer_head.AnswerRule | None:
         if self._malformed is not None:
             return self._malformed.rule
         if code in MALFORMED_CODES and self.stage is Stage.SENT:
-            return answer_head.Rule.REJECTED_BY_LIBCURL
+            return answer_head.AnswerRule.REJECTED_BY_LIBCURL
         return None
 
     def _configure_curl(self, curl: pycurl.Curl) -> None:
--- a/tests/entries/test_malformed_answers.py
+++ b/tests/entries/test_malformed_answers.py
@@ -180,9 +180,9 @@
         [*(bytes([n]) for n in range(256)), b"\r\n", b"\r\n ", b""]
     ),
 )
-def test_whatever_is_spoilt_comes_out_whole_or_not_at_all(
+def test_a_corrupted_answer_comes_out_whole_or_not_at_all(
     sound, at, replaced, inserted
 ):
-    spoilt = sound[:at] + inserted + sound[at + replaced :]
-    found = read(spoilt)
-    assert found is None or found == malformed.read_strictly(spoilt)
+    corrupted = sound[:at] + inserted + sound[at + replaced :]
+    found = read(corrupted)
+    assert found is None or found == malformed.read_strictly(corrupted)
--- a/tests/malformed_answers.py
+++ b/tests/malformed_answers.py
@@ -1,6 +1,6 @@
 """Answers that break a rule of HTTP/1.1, and what a client may make of them.
 
-Each malformed answer is a whole one of which one part is spoilt. What a
+Each malformed answer is a whole one with one corrupted part. What a
 lenient client makes of it is a part of the body, or bytes that are none of it.
 """
 
--- a/tests/targets/test_answer_head.py
+++ b/tests/targets/test_answer_head.py
@@ -25,7 +25,7 @@
         line = re.match(rb"[^\n]*\n?", raw)[0]
         if not line:
             raise answer_head.MalformedAnswerError(
-                answer_head.Rule.LINE_END, "cut"
+                answer_head.AnswerRule.LINE_END, "cut"
             )
         reader.feed(line)
         raw = raw[len(line) :]
@@ -87,12 +87,12 @@
     ),
     piece_bytes=CUT,
 )
-def test_whatever_is_spoilt_is_read_as_the_rfc_says(
+def test_a_corrupted_answer_is_read_as_the_rfc_says(
     sound, at, replaced, inserted, piece_bytes
 ):
-    spoilt = sound[:at] + inserted + sound[at + replaced :]
+    corrupted = sound[:at] + inserted + sound[at + replaced :]
     try:
-        found = read(spoilt, piece_bytes=piece_bytes)
+        found = read(corrupted, piece_bytes=piece_bytes)
     except answer_head.MalformedAnswerError:
         return
-    assert found == malformed.read_strictly(spoilt)
+    assert found == malformed.read_strictly(corrupted)
